--- /dev/null
+++ b/src/main/java/tillerlink/Policy.java
@@ -0,0 +1,1105 @@
+package tillerlink;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import tillerlink.model.Circle;
+import tillerlink.model.DecayingMean;
+import tillerlink.model.DecayingSum;
+import tillerlink.model.Effect;
+import tillerlink.model.Ending;
+import tillerlink.model.Engine;
+import tillerlink.model.Hop;
+import tillerlink.model.KeyLine;
+import tillerlink.model.Listed;
+import tillerlink.model.Note;
+import tillerlink.model.Outcome;
+import tillerlink.model.SlidingSum;
+import tillerlink.model.Submission;
+import tillerlink.model.Track;
+import tillerlink.model.TrackTerms;
+import tillerlink.port.Orders;
+import tillerlink.port.Steering;
+
+/**
+ * All decisions of one gateway: what runs, where, and with how much memory.
+ *
+ * <p>Callers reach it through {@link tillerlink.port.SteeringFactory} and {@link Steering}, where the interface is
+ * defined; it answers through {@link Orders}. Events only change what is known and wanted; {@link #settle} then
+ * reviews what is due, sends what may go, and {@link #emit} alone works out the difference between the wanted and the
+ * present state. Times are tenths of a millisecond. The design, and each departure from it, is in docs/design.md.
+ */
+public final class Policy implements Steering {
+    // Pressure and the thread bound (design, section "ordinary path", point 4).
+    /** A pace this many times the best seen is far above it. */
+    private static final double FAR = 2.0;
+    /** Below this many times the best, the bound may grow again. */
+    private static final double EASY = 1.6;
+    /** A reported share of cores or disks from here on is a busy report. */
+    private static final double BUSY = 0.95;
+    /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
+    private static final double BOUND_START = 1.5;
+    private static final double BOUND_LEAST = 0.4;
+    private static final double BOUND_CUT = 0.85;
+    private static final double BOUND_GROW = 0.08;
+    // Measures.
+    /** Hops a pace needs before it can be the best seen. */
+    private static final double ENOUGH = 6;
+    /** A single hop's pace counts as at most this, in times of the best. */
+    private static final double PACE_CAP = 6;
+    private static final int WARM_GROUPS = 4;
+    /** An engine this much slower than the fleet counts as having fewer cores. */
+    private static final double SLOWER = 1.4;
+    // Health.
+    private static final double DOUBT_LEAST = 0.7;
+    /** Failures for each success from which an engine is doubtful. */
+    private static final double DOUBT_RATIO = 0.25;
+    /** A drawn chance of success that earns a doubtful engine a trial. */
+    private static final double TRIAL_CHANCE = 0.7;
+    /** What a silence counts for, in failures. */
+    private static final double SILENCE_WEIGHT = 3;
+    /** Share of the failures that a trial's success wipes out. */
+    private static final double TRIAL_CLEARS = 0.8;
+    /** Silence of this many expected times is suspicious. */
+    private static final double QUIET = 4;
+    /** Silence of this many periods of notes is suspicious. */
+    private static final double QUIET_NOTES = 1.3;
+    // Bad plans.
+    /** A hop projected to take this many times what is usual has a bad plan. */
+    private static final double BAD_PLAN = 4;
+    private static final double LEAST_SHARE = 0.005;
+    // Cold engines.
+    /** Share of the stated limit that all gateways together may use. */
+    private static final double COLD_USE = 0.35;
+    /** Room that a hop must find, in times of its expected work: estimates scatter. */
+    private static final double COLD_ROOM = 2;
+    private static final int SLICES = 50;
+    /** Margin on an estimated soft limit before a submission counts as too late. */
+    private static final double LATE_MARGIN = 1.25;
+    private static final double GRANT_MARGIN = 1.25;
+
+    private final Orders orders;
+    private final Map<String, Object> settings;
+    private final Random random;
+    private final long startedAt;
+    private final List<Track> tracks = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final List<Engine> candidates = new ArrayList<>();
+    private final List<Submission> changed = new ArrayList<>();
+    private final List<Submission> fresh = new ArrayList<>();
+    private final List<Engine> probesWanted = new ArrayList<>();
+    private final PriorityQueue<Alarm> alarms =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private long alarmsMade;
+    private long armedFor = Long.MAX_VALUE;
+    private boolean followWanted;
+    private long followAgainAt = Long.MAX_VALUE;
+
+    private final int gateways;
+    private final int ownZone;
+    private final boolean mayCallOff;
+    private final boolean mayProbe;
+    private final boolean secondCopies;
+    private final int mostHops;
+    private final long tick;
+    private final long settleTime;
+    private final long leastSoftLimit;
+    private final long mostSoftLimit;
+    private final long noteEvery;
+    private final long fallSpan;
+    private final long warmWithin;
+    private final List<String> reportFields;
+    private final SlidingSum taken;
+    private final SlidingSum further;
+    private final DecayingSum payoffSeen;
+    private final DecayingSum workSeen;
+
+    private record Alarm(long at, long order, Submission submission) {
+    }
+
+    public Policy(long now, long seed, Map<String, Object> settings, Orders orders) {
+        this.orders = orders;
+        this.settings = settings;
+        random = new Random(seed);
+        startedAt = now;
+        gateways = (int) Math.max(1, number("instances", 1));
+        ownZone = (int) number("az", -1);
+        mayCallOff = flag("caps.may_cancel");
+        mayProbe = flag("caps.may_probe");
+        secondCopies = flag("caps.second_copies");
+        mostHops = (int) number("caps.max_attempts", 1);
+        tick = number("tick", 1);
+        settleTime = number("guarantees.settle_after_doubt", 0) + tick;
+        noteEvery = number("family_info.tells_every", 0);
+        fallSpan = number("guarantees.fall", 0);
+        warmWithin = number("guarantees.warm_within", 0);
+        reportFields = list("report.fields").stream().map(String::valueOf).toList();
+        long least = Long.MAX_VALUE;
+        long most = 1;
+        for (int i = 0; i < number("profiles", 0); i++) {
+            TrackTerms terms = terms(i);
+            least = Math.min(least, terms.softLimit());
+            most = Math.max(most, terms.softLimit());
+            tracks.add(new Track(i, terms, new DecayingMean(terms.hardStop() * 4.0, 1, 4),
+                    new DecayingMean(terms.hardStop() * 4.0, 1, 4),
+                    new DecayingMean(terms.hardStop() * 4.0, terms.softLimit() * terms.width() / FAR, 1),
+                    new DecayingMean(terms.softLimit() * 4.0, 1, 1e-6)));
+        }
+        leastSoftLimit = least;
+        mostSoftLimit = most;
+        long budgetSpan = number("guarantees.budget_span", 0);
+        taken = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
+        further = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
+        payoffSeen = new DecayingSum(mostSoftLimit * 4.0);
+        workSeen = new DecayingSum(mostSoftLimit * 4.0);
+        followWanted = "ask".equals(settings.get("discovery"));
+    }
+
+    private TrackTerms terms(int i) {
+        String at = "profiles." + i + ".";
+        Effect effect = switch (String.valueOf(settings.get(at + "semantics"))) {
+            case "repeatable" -> Effect.PURE;
+            case "by_key" -> Effect.RECEIPTED;
+            default -> Effect.EFFECTFUL;
+        };
+        Circle circle = switch (String.valueOf(settings.get(at + "group"))) {
+            case "all" -> Circle.ALL;
+            case "zone" -> Circle.ZONE;
+            default -> Circle.CELL;
+        };
+        long hardStop = number(at + "hard_limit", 1);
+        return new TrackTerms(effect, circle, number(at + "window", 0), Math.max(1, number(at + "aim", hardStop)),
+                amount(at + "aim_stretch", 0), hardStop, amount(at + "worth", 1), amount(at + "late_worth", 0),
+                (int) Math.max(1, nth("family_info.width_by_class", i, 1)), nthFlag("family_info.loads", i),
+                nthFlag("family_info.waits_for_loads", i), flag(at + "keep_order"), bound(at + "zones_open"),
+                bound(at + "models_allowed"));
+    }
+
+    // ---- events ----
+
+    @Override
+    public void listed(long now, boolean whole, List<Listed> entries) {
+        if (whole) {
+            for (Engine engine : engines) {
+                engine.standing = Engine.Standing.GONE;
+            }
+        }
+        for (Listed entry : entries) {
+            Engine engine = entry.engine();
+            if (engine.outByTrack.length == 0) {
+                prepare(engine);
+                engines.add(engine);
+            }
+            if (entry.startedAt() != engine.startedAt) {
+                forget(engine);
+            }
+            engine.kind = entry.kind();
+            engine.zone = entry.zone();
+            engine.cell = entry.cell();
+            engine.weight = entry.weight();
+            engine.standing = entry.standing();
+            engine.startedAt = entry.startedAt();
+        }
+        engines.removeIf(e -> e.standing == Engine.Standing.GONE && e.out.isEmpty() && forgetEntirely(e));
+        followAgainAt = Long.MAX_VALUE;
+    }
+
+    private void prepare(Engine engine) {
+        engine.outByTrack = new int[tracks.size()];
+        engine.successes = new DecayingSum(mostSoftLimit * 4.0);
+        engine.failures = new DecayingSum(mostSoftLimit * 4.0);
+        engine.pace = new DecayingMean(mostSoftLimit, 1, 2);
+        engine.workSent = new SlidingSum(Math.max(1, fallSpan), SLICES);
+        engine.boundFactor = BOUND_START;
+    }
+
+    /** A process that started anew keeps nothing of its predecessor's record. */
+    private void forget(Engine engine) {
+        engine.successes.clear();
+        engine.failures.clear();
+        engine.pace.clear();
+        engine.groups.clear();
+        engine.boundFactor = BOUND_START;
+        engine.pressedUntil = Long.MIN_VALUE;
+    }
+
+    private boolean forgetEntirely(Engine engine) {
+        engine.outByTrack = new int[0];
+        engine.groups.clear();
+        return true;
+    }
+
+    @Override
+    public void listFailed(long now) {
+        if ("ask".equals(settings.get("discovery"))) {
+            long pause = Math.max(tick, number("guarantees.ask_within", 10 * leastSoftLimit) / 10);
+            followAgainAt = now + (long) (pause * (0.5 + random.nextDouble()));
+        }
+    }
+
+    @Override
+    public void arrived(long now, Submission s) {
+        s.track = tracks.get(s.trackIndex);
+        if (taken != null) {
+            taken.add(now, 1);
+        }
+        payoffSeen.add(now, s.track.terms.payoff());
+        workSeen.add(now, work(now, s));
+        if (s.line != null && s.track.terms.keepsOrder()) {
+            s.line.members.addLast(s);
+            advance(now, s.line);
+        } else {
+            hold(s, false);
+        }
+        fresh.add(s);
+        wake(s, Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick));
+    }
+
+    @Override
+    public void begun(long now, Hop hop) {
+        hop.submission.begun = true;
+        hop.engine.heardAt = now;
+    }
+
+    @Override
+    public void noted(long now, Hop hop, Note note, double level) {
+        if (!hop.isOut()) {
+            return;
+        }
+        hop.engine.heardAt = now;
+        hop.notedAt = now;
+        if (note == Note.PROGRESS) {
+            hop.share = level;
+            judgeProgress(now, hop);
+        }
+    }
+
+    @Override
+    public void ended(long now, Hop hop, Outcome outcome, long lag, boolean answered, double work, double memory,
+                      double[] report) {
+        Submission s = hop.submission;
+        Engine engine = hop.engine;
+        hop.outcome = outcome;
+        s.hopsOut--;
+        engine.out.remove(hop);
+        if (engine.outByTrack.length > 0) {
+            engine.outByTrack[s.trackIndex]--;
+            engine.threadsOut -= s.track.terms.width();
+            engine.memoryOut -= hop.memory;
+            engine.trialsOut -= hop.trial ? 1 : 0;
+            judge(now, hop, outcome, lag);
+            read(now, engine, report);
+        }
+        if (outcome == Outcome.FULFILLED) {
+            learn(now, hop, lag, work, memory);
+        }
+        if (answered && s.ending == null) {
+            s.ending = outcome == Outcome.FULFILLED ? Ending.FULFILLED : Ending.LEFT;
+            s.told = true;
+            callOffAll(s);
+        }
+        if (s.track.terms.keepsOrder() && s.line != null && outcome.leavesDoubt) {
+            s.line.restsUntil = Math.max(s.line.restsUntil, now + settleTime);
+        }
+        if (s.ending == null && s.hopsOut == 0) {
+            onward(now, s, outcome);
+        }
+        advanceOver(now, s);
+    }
+
+    @Override
+    public void left(long now, Submission s) {
+        if (s.ending == null) {
+            s.ending = Ending.LEFT;
+            s.told = true;
+            callOffAll(s);
+            advanceOver(now, s);
+        }
+    }
+
+    @Override
+    public void probed(long now, Engine engine, boolean wentWell, double[] report) {
+        engine.probeOut = false;
+        if (engine.outByTrack.length == 0) {
+            return;
+        }
+        if (wentWell) {
+            engine.heardAt = now;
+            succeed(now, engine, true);
+            read(now, engine, report);
+        } else {
+            engine.failures.add(now, 1);
+        }
+    }
+
+    @Override
+    public void woken(long now) {
+        armedFor = Long.MAX_VALUE;
+    }
+
+    @Override
+    public void settle(long now) {
+        while (!alarms.isEmpty() && alarms.peek().at <= now) {
+            Alarm alarm = alarms.poll();
+            Submission s = alarm.submission;
+            if (s.wakeAt == alarm.at) {
+                s.wakeAt = Long.MAX_VALUE;
+                if (s.ending == null) {
+                    review(now, s);
+                }
+            }
+        }
+        if (followAgainAt <= now) {
+            followAgainAt = Long.MAX_VALUE;
+            followWanted = true;
+        }
+        pump(now);
+        wantProbes(now);
+        emit(now);
+    }
+
+    // ---- the one place where wanted and present state are compared ----
+
+    private void emit(long now) {
+        if (followWanted) {
+            followWanted = false;
+            orders.follow();
+        }
+        for (int i = 0; i < changed.size(); i++) {
+            Submission s = changed.get(i);
+            s.changed = false;
+            if (s.ending != null && !s.told) {
+                s.told = true;
+                if (s.ending == Ending.TURNED_BACK) {
+                    orders.turnBack(s, s.comeBack);
+                } else {
+                    orders.breakOff(s);
+                }
+            }
+            if ((s.rank != s.rankTold || s.grant != s.grantTold) && s.hopsOut > 0) {
+                s.rankTold = s.rank;
+                s.grantTold = s.grant;
+                orders.terms(s, s.rank, s.grant);
+            }
+            for (int h = 0; h < s.hops.size(); h++) {
+                Hop hop = s.hops.get(h);
+                if (!hop.sent) {
+                    hop.sent = true;
+                    orders.send(hop, hop.within);
+                }
+                if (hop.wantedOff && !hop.calledOff && hop.isOut()) {
+                    hop.calledOff = true;
+                    orders.callOff(hop);
+                }
+            }
+        }
+        changed.clear();
+        for (Engine engine : probesWanted) {
+            orders.probe(engine);
+        }
+        probesWanted.clear();
+        long next = Math.min(alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().at, followAgainAt);
+        if (next < armedFor) {
+            armedFor = Math.max(next, now + 1);
+            orders.wake(armedFor);
+        }
+    }
+
+    private void change(Submission s) {
+        if (!s.changed) {
+            s.changed = true;
+            changed.add(s);
+        }
+    }
+
+    private void wake(Submission s, long at) {
+        s.wakeAt = at;
+        alarms.add(new Alarm(at, alarmsMade++, s));
+    }
+
+    // ---- queues ----
+
+    private void hold(Submission s, boolean first) {
+        s.held = true;
+        if (first) {
+            s.track.queue.addFirst(s);
+        } else {
+            s.track.queue.addLast(s);
+        }
+    }
+
+    /** Sends what may go: of the queues' heads, the one that has used most of its time, as long as any fits. */
+    private void pump(long now) {
+        int blocked = 0;
+        while (true) {
+            Track next = null;
+            double most = -1;
+            for (Track track : tracks) {
+                Submission head = head(track);
+                if (head != null && (blocked & 1 << track.index) == 0) {
+                    double used = (double) (now - head.arrivedAt) / softLimit(now, head);
+                    if (used > most) {
+                        most = used;
+                        next = track;
+                    }
+                }
+            }
+            if (next == null) {
+                break;
+            }
+            Submission s = next.queue.peekFirst();
+            if (hopeless(now, s) || (!s.hops.isEmpty() && !budgetLeft(now))) {
+                giveUp(now, s);
+                continue;
+            }
+            Engine engine = choose(now, s);
+            if (engine == null) {
+                blocked |= 1 << next.index;
+            } else {
+                next.queue.pollFirst();
+                s.held = false;
+                place(now, s, engine);
+            }
+        }
+        shed(now);
+        fresh.clear();
+    }
+
+    private static Submission head(Track track) {
+        while (!track.queue.isEmpty() && track.queue.peekFirst().ending != null) {
+            track.queue.pollFirst().held = false;
+        }
+        return track.queue.peekFirst();
+    }
+
+    /** Held, and no longer able to be answered within its soft limit. */
+    private boolean hopeless(long now, Submission s) {
+        return now > s.arrivedAt && now + usual(now, s) > softEnd(now, s);
+    }
+
+    /**
+     * Guards against a queue in which all wait too long to pay: the longer the head has waited, the smaller a new
+     * submission must be, against its track's mean, to be kept. It acts only while the bound holds the queue back,
+     * and answers at once. It should hold against any lasting want of capacity; it may hurt when one long wait at
+     * the head stands for no queue behind it.
+     */
+    private void shed(long now) {
+        for (Submission s : fresh) {
+            if (!s.held || s.ending != null) {
+                continue;
+            }
+            Submission head = head(s.track);
+            if (head == null || head == s) {
+                continue;
+            }
+            double used = (double) (now - head.arrivedAt) / Math.max(1, softLimit(now, head) - usual(now, head));
+            double limit = s.track.work.at(now) * Math.max(0, 1 - used) / Math.max(1e-3, used);
+            if (work(now, s) > limit) {
+                giveUp(now, s);
+            }
+        }
+    }
+
+    private void giveUp(long now, Submission s) {
+        boolean back = mayTurnBack(s);
+        s.ending = back ? Ending.TURNED_BACK : Ending.BROKEN_OFF;
+        if (back && flag("caps.retry_after")) {
+            s.comeBack = number("caps.max_retry_after", 0);
+        }
+        change(s);
+        callOffAll(s);
+        advanceOver(now, s);
+    }
+
+    private void callOffAll(Submission s) {
+        for (Hop hop : s.hops) {
+            if (hop.isOut()) {
+                callOff(hop);
+            }
+        }
+    }
+
+    private void callOff(Hop hop) {
+        if (mayCallOff && hop.sent) {
+            hop.wantedOff = true;
+            change(hop.submission);
+        }
+    }
+
+    /** Lets the next of a key's submissions into its queue when all before it are over and have rested. */
+    private void advance(long now, KeyLine line) {
+        while (!line.members.isEmpty() && line.members.peekFirst().isOver()) {
+            line.members.pollFirst();
+        }
+        Submission head = line.members.peekFirst();
+        if (head == null || head.ending != null || head.held || !head.hops.isEmpty()) {
+            return;
+        }
+        if (now >= line.restsUntil) {
+            hold(head, false);
+        } else if (line.restsUntil < head.wakeAt) {
+            wake(head, line.restsUntil);
+        }
+    }
+
+    private void advanceOver(long now, Submission s) {
+        if (s.line != null && s.track.terms.keepsOrder() && s.isOver()) {
+            advance(now, s.line);
+        }
+    }
+
+    // ---- the mechanism: choice of the engine ----
+
+    /** The engine for a submission, or null if it must be held. */
+    private Engine choose(long now, Submission s) {
+        candidates.clear();
+        boolean sound = false;
+        Engine likeliest = null;
+        double chance = -1;
+        for (Engine engine : engines) {
+            if (!allowed(now, s, engine)) {
+                continue;
+            }
+            if (doubtful(now, engine)) {
+                double drawn = drawChance(now, engine);
+                if (engine.trialsOut == 0 && drawn > chance) {
+                    chance = drawn;
+                    likeliest = engine;
+                }
+                continue;
+            }
+            sound = true;
+            if (!bounded(now, engine)) {
+                candidates.add(engine);
+            }
+        }
+        boolean trial = likeliest != null && s.track.terms.effect() == Effect.PURE && chance > TRIAL_CHANCE;
+        if (likeliest != null && (trial || !sound)) {
+            return likeliest;
+        }
+        if (candidates.isEmpty()) {
+            return null;
+        }
+        stepAside(e -> s.hops.stream().anyMatch(h -> h.engine == e));
+        if (s.track.terms.holdsGroup() || s.track.terms.waitsForGroup()) {
+            stepAside(e -> loadsGroup(e, s.tableGroup));
+        }
+        return fewest(now, s);
+    }
+
+    private interface Aside {
+        boolean test(Engine engine);
+    }
+
+    /** Engines of which the test holds step aside while another remains. */
+    private void stepAside(Aside aside) {
+        int staying = 0;
+        for (Engine engine : candidates) {
+            staying += aside.test(engine) ? 0 : 1;
+        }
+        if (staying > 0 && staying < candidates.size()) {
+            candidates.removeIf(aside::test);
+        }
+    }
+
+    /** LBQP: fewest of the class per core; over the expected average steps aside; a warm table group breaks ties. */
+    private Engine fewest(long now, Submission s) {
+        double fleetPace = fleetPace(now);
+        double cores = 0;
+        double queries = 1;
+        for (Engine engine : candidates) {
+            double own = effectiveCores(now, engine, fleetPace);
+            cores += own;
+            queries += classCount(now, s, engine, own) * own;
+        }
+        double average = queries / cores;
+        stepAside(e -> classCount(now, s, e, effectiveCores(now, e, fleetPace)) > average);
+        double least = Double.MAX_VALUE;
+        double loads = 0;
+        int ties = 0;
+        for (Engine engine : candidates) {
+            double count = classCount(now, s, engine, effectiveCores(now, engine, fleetPace));
+            if (count < least - 1e-9) {
+                least = count;
+                loads = 0;
+                ties = 0;
+            }
+            if (count <= least + 1e-9) {
+                loads += load(now, engine, fleetPace);
+                ties++;
+            }
+        }
+        Engine best = null;
+        double bestRating = Double.MAX_VALUE;
+        for (Engine engine : candidates) {
+            if (classCount(now, s, engine, effectiveCores(now, engine, fleetPace)) > least + 1e-9) {
+                continue;
+            }
+            double load = load(now, engine, fleetPace);
+            // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a hot
+            // group would heap its long queries there.
+            boolean warm = engine.groups.contains(s.tableGroup) && load <= loads / ties + 1e-9;
+            double rating = (warm ? 0 : 1000) + load + (engine.zone == ownZone ? 0 : 0.02)
+                    + random.nextDouble() * 0.01;
+            if (rating < bestRating) {
+                bestRating = rating;
+                best = engine;
+            }
+        }
+        return best;
+    }
+
+    private double classCount(long now, Submission s, Engine engine, double cores) {
+        double reported = fresh(now, engine) ? engine.reportedQueries / cores(engine) : 0;
+        return engine.outByTrack[s.trackIndex] / cores + reported;
+    }
+
+    /** Threads of all classes a core, with what the engine last said of its cores and disks. */
+    private double load(long now, Engine engine, double fleetPace) {
+        return engine.threadsOut / effectiveCores(now, engine, fleetPace)
+                + (fresh(now, engine) ? engine.reportedBusy : 0);
+    }
+
+    private boolean fresh(long now, Engine engine) {
+        return now - engine.reportedAt < mostSoftLimit;
+    }
+
+    private double cores(Engine engine) {
+        return Math.max(1, nth("family_info.kind_cores", engine.kind, 1));
+    }
+
+    /** An engine slower than the fleet, or still cold, counts with the cores it seems to have. */
+    private double effectiveCores(long now, Engine engine, double fleetPace) {
+        double slower = engine.pace.at(now) / fleetPace;
+        return cores(engine) * warmth(now, engine) / (slower > SLOWER ? slower : 1);
+    }
+
+    private double fleetPace(long now) {
+        double sum = 0;
+        int ready = 0;
+        for (Engine engine : engines) {
+            if (engine.standing == Engine.Standing.READY && !doubtful(now, engine)) {
+                sum += engine.pace.at(now);
+                ready++;
+            }
+        }
+        return ready == 0 ? 1 : sum / ready;
+    }
+
+    private boolean loadsGroup(Engine engine, int tableGroup) {
+        for (Hop hop : engine.out) {
+            if (hop.submission.tableGroup == tableGroup && hop.submission.track.terms.holdsGroup()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- the thread bound ----
+
+    private boolean bounded(long now, Engine engine) {
+        return now < engine.pressedUntil && engine.threadsOut > 0 && engine.threadsOut >= bound(engine);
+    }
+
+    private double bound(Engine engine) {
+        return cores(engine) / gateways * engine.boundFactor;
+    }
+
+    private void press(long now, Engine engine) {
+        engine.pressedUntil = now + mostSoftLimit;
+    }
+
+    /** The bound's figure falls while the pace is far above the best seen and grows again while it is not. */
+    private void adjustBound(long now, Engine engine) {
+        double pace = engine.pace.at(now);
+        if (pace > FAR) {
+            press(now, engine);
+            if (now >= engine.boundCutAt) {
+                double used = engine.threadsOut / (cores(engine) / gateways);
+                double from = Math.min(engine.boundFactor, Math.max(used, BOUND_START));
+                engine.boundFactor = Math.max(BOUND_LEAST, from * BOUND_CUT);
+                engine.boundCutAt = now + leastSoftLimit;
+            }
+        } else if (pace < EASY && engine.threadsOut + 1 >= bound(engine)) {
+            engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
+        }
+    }
+
+    // ---- rule guards ----
+
+    /** Placement, drains, repeats and cold engines: where a submission may go at all. */
+    private boolean allowed(long now, Submission s, Engine engine) {
+        return engine.standing == Engine.Standing.READY && s.track.terms.allows(engine)
+                && repeatAllowed(now, s, engine) && coldRoom(now, engine, work(now, s));
+    }
+
+    private boolean repeatAllowed(long now, Submission s, Engine engine) {
+        if (s.hops.isEmpty() || s.track.terms.effect() == Effect.PURE) {
+            return true;
+        }
+        for (Hop hop : s.hops) {
+            if (!hop.mayHaveRun()) {
+                continue;
+            }
+            if (s.track.terms.effect() == Effect.EFFECTFUL || !s.track.terms.circle().joins(hop.engine, engine)
+                    || now + tick >= hop.sentAt + s.track.terms.window()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean mayTurnBack(Submission s) {
+        if (s.track.terms.effect() == Effect.PURE) {
+            return true;
+        }
+        return (s.track.terms.effect() == Effect.RECEIPTED && s.track.terms.circle() == Circle.ALL)
+                || s.hops.stream().noneMatch(Hop::mayHaveRun);
+    }
+
+    private boolean budgetLeft(long now) {
+        return further == null || further.most(now) + 1 <= amount("guarantees.extra_floor", 0)
+                + amount("guarantees.further_ratio", 0) * taken.least(now);
+    }
+
+    /** The share of its capacity that an engine surely has; how it warms is not told, so slowly at first. */
+    private double warmth(long now, Engine engine) {
+        if (engine.startedAt <= 0 || now - engine.startedAt >= warmWithin) {
+            return 1;
+        }
+        double gone = Math.max(0, (double) (now - engine.startedAt) / warmWithin);
+        double start = amount("guarantees.start_capacity", 1);
+        return start + (1 - start) * gone * gone;
+    }
+
+    /**
+     * Guards a cold engine: this gateway's part of what may be sent within the stated span. A gateway that has just
+     * started itself may have spent it before, and waits for the span to pass.
+     */
+    private boolean coldRoom(long now, Engine engine, double work) {
+        double warmth = warmth(now, engine);
+        if (warmth >= 1 || fallSpan <= 0) {
+            return true;
+        }
+        double most = amount("guarantees.fall_multiple", 1) * warmth * cores(engine) * fallSpan / gateways * COLD_USE;
+        return now >= startedAt + fallSpan && engine.workSent.most(now) + COLD_ROOM * work <= most;
+    }
+
+    // ---- hops ----
+
+    private void place(long now, Submission s, Engine engine) {
+        boolean trial = doubtful(now, engine);
+        double nominal = work(now, s) / s.track.terms.width();
+        long expected = (long) (nominal * best(s.track) * Math.max(1, engine.pace.at(now)));
+        s.rank = rank(now, s);
+        double memory = s.memoryEstimate * s.track.memoryBias.at(now) * GRANT_MARGIN;
+        if (flag("family_info.grants") && memory > 0) {
+            double most = amount("family_info.max_grant_share", 1) * nth("family_info.size_mb", engine.kind, 0);
+            s.grant = (long) Math.ceil(most > 0 ? Math.min(memory, most) : memory);
+        }
+        if (!s.hops.isEmpty() && further != null) {
+            further.add(now, 1);
+        }
+        Hop hop = new Hop(s, engine, now, expected, nominal, within(now, s, expected, trial), memory, trial);
+        s.hops.add(hop);
+        s.hopsOut++;
+        engine.out.add(hop);
+        engine.outByTrack[s.trackIndex]++;
+        engine.threadsOut += s.track.terms.width();
+        engine.memoryOut += memory;
+        engine.trialsOut += trial ? 1 : 0;
+        engine.workSent.add(now, work(now, s));
+        engine.groups.remove((Integer) s.tableGroup);
+        engine.groups.addLast(s.tableGroup);
+        if (engine.groups.size() > WARM_GROUPS) {
+            engine.groups.removeFirst();
+        }
+        change(s);
+        wake(s, Math.min(s.leavesAt - 2 * tick, now + quietLimit(s, hop)));
+    }
+
+    /** Where hops can be called off, no time-out is needed; elsewhere it is the only way out of a silent engine. */
+    private long within(long now, Submission s, long expected, boolean trial) {
+        if (mayCallOff || (s.track.terms.latePayoff() > 0 && !trial)) {
+            return 0;
+        }
+        return Math.max(1, Math.min(s.leavesAt - now, Math.max((long) (QUIET * expected), softLimit(now, s) / 2)));
+    }
+
+    private int rank(long now, Submission s) {
+        double usual = payoffSeen.at(now) / Math.max(1, workSeen.at(now));
+        double dense = s.track.terms.payoff() / Math.max(1, work(now, s)) / usual;
+        return dense >= 4 ? 3 : dense >= 1 ? 2 : dense >= 0.25 ? 1 : 0;
+    }
+
+    /** After a hop that did not fulfil: another, if the rules, the budget and the time left allow it. */
+    private void onward(long now, Submission s, Outcome outcome) {
+        boolean engineFull = outcome == Outcome.FULL;
+        if (s.hops.size() >= mostHops || !budgetLeft(now) || now + usual(now, s) > tooLateAt(now, s)
+                || (!engineFull && !anywhereAllowed(now, s))) {
+            giveUp(now, s);
+        } else {
+            hold(s, true);
+        }
+    }
+
+    private boolean anywhereAllowed(long now, Submission s) {
+        for (Engine engine : engines) {
+            if (engine.standing == Engine.Standing.READY && s.track.terms.allows(engine)
+                    && repeatAllowed(now, s, engine)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** What is due for a submission: its end, or a look at the hop that is out. */
+    private void review(long now, Submission s) {
+        if (s.begun) {
+            return;
+        }
+        if (now >= Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick)) {
+            giveUp(now, s);
+            return;
+        }
+        if (s.hopsOut == 0) {
+            if (s.line != null && s.track.terms.keepsOrder()) {
+                advance(now, s.line);
+            }
+            if (s.held && hopeless(now, s)) {
+                giveUp(now, s);
+            } else if (s.wakeAt == Long.MAX_VALUE) {
+                wake(s, Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick));
+            }
+            return;
+        }
+        Hop hop = s.hops.get(s.hops.size() - 1);
+        long quiet = now - Math.max(hop.engine.heardAt, hop.sentAt);
+        if (quiet >= quietLimit(s, hop)) {
+            suspect(now, hop);
+        }
+        if (now > softEnd(now, s) && s.rank > 0) {
+            s.rank = 0;
+            change(s);
+        }
+        long look = hop.wantedOff ? leastSoftLimit : Math.max(quietLimit(s, hop) - Math.max(0, quiet), leastSoftLimit / 4);
+        wake(s, Math.min(Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick), now + look));
+    }
+
+    /** How long an engine may say nothing at all before a hop there is in doubt. */
+    private long quietLimit(Submission s, Hop hop) {
+        double limit = Math.max(QUIET * hop.expected, s.track.terms.softLimit() / 2.0);
+        return (long) (noteEvery > 0 ? Math.min(limit, Math.max(QUIET_NOTES * noteEvery, leastSoftLimit / 2.0)) : limit);
+    }
+
+    private void suspect(long now, Hop hop) {
+        Engine engine = hop.engine;
+        if (!doubtful(now, engine)) {
+            engine.failures.add(now, SILENCE_WEIGHT + DOUBT_RATIO * engine.successes.at(now));
+        }
+        if (mayCallOff && mayHopOn(now, hop.submission)) {
+            callOff(hop);
+        }
+    }
+
+    /** Whether another hop could follow if the one that is out were called off now. */
+    private boolean mayHopOn(long now, Submission s) {
+        return s.track.terms.effect() != Effect.EFFECTFUL && s.hops.size() < mostHops && budgetLeft(now)
+                && now + usual(now, s) < tooLateAt(now, s) && anywhereAllowed(now, s);
+    }
+
+    /**
+     * Guards against bad plans: a hop whose notes project far more than is usual there is called off and sent anew.
+     * It should also hold against a hop stuck alone on a sound engine; it may hurt where estimates are far too low.
+     */
+    private void judgeProgress(long now, Hop hop) {
+        long age = now - hop.sentAt;
+        double projected = age / Math.max(LEAST_SHARE, hop.share);
+        double usual = hop.nominal * best(hop.submission.track) * Math.max(1, hop.engine.pace.at(now));
+        if (projected < BAD_PLAN * usual) {
+            hop.engine.pace.add(now, Math.min(PACE_CAP, projected / hop.nominal / best(hop.submission.track)), 0.5);
+            adjustBound(now, hop.engine);
+        } else if (projected - age > FAR * usual && mayCallOff && hop.submission.ending == null
+                && mayHopOn(now, hop.submission)) {
+            callOff(hop);
+        }
+    }
+
+    // ---- measures ----
+
+    private void judge(long now, Hop hop, Outcome outcome, long lag) {
+        Engine engine = hop.engine;
+        switch (outcome) {
+            case FULFILLED -> {
+                engine.heardAt = now;
+                succeed(now, engine, hop.trial);
+            }
+            case FULL -> {
+                engine.heardAt = now;
+                press(now, engine);
+            }
+            case ERRED -> {
+                engine.heardAt = now;
+                engine.failures.add(now, 1);
+            }
+            case UNREACHABLE, SEVERED -> engine.failures.add(now, SILENCE_WEIGHT);
+            case OVERDUE -> {
+                if (engine.heardAt < hop.sentAt) {
+                    engine.failures.add(now, 1);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void succeed(long now, Engine engine, boolean trial) {
+        engine.successes.add(now, 1);
+        if (trial) {
+            engine.failures.add(now, -TRIAL_CLEARS * engine.failures.at(now));
+        }
+    }
+
+    private void learn(long now, Hop hop, long lag, double work, double memory) {
+        Submission s = hop.submission;
+        Track track = s.track;
+        if (work > 0 && s.estimate > 0) {
+            track.bias.add(now, Math.min(PACE_CAP, work / s.estimate), 1);
+        }
+        if (memory > 0 && s.memoryEstimate > 0) {
+            track.memoryBias.add(now, Math.min(PACE_CAP, memory / s.memoryEstimate), 1);
+        }
+        track.work.add(now, work > 0 ? work : s.estimate > 0 ? work(now, s) : lag * track.terms.width(), 1);
+        double nominal = work > 0 ? work / track.terms.width() : hop.nominal;
+        double pace = lag / Math.max(1, nominal);
+        track.pace.add(now, Math.min(pace, PACE_CAP * best(track)), 1);
+        if (track.pace.weight(now) >= ENOUGH) {
+            double mean = track.pace.at(now);
+            track.bestPace = track.bestPace == 0 ? mean : Math.min(track.bestPace, mean);
+        }
+        if (hop.engine.outByTrack.length > 0 && pace < BAD_PLAN * best(track) * Math.max(1, hop.engine.pace.at(now))) {
+            hop.engine.pace.add(now, pace / best(track), 1);
+            adjustBound(now, hop.engine);
+        }
+    }
+
+    private void read(long now, Engine engine, double[] report) {
+        if (report == null) {
+            return;
+        }
+        engine.reportedAt = now;
+        engine.reportedBusy = 0;
+        for (int i = 0; i < Math.min(report.length, reportFields.size()); i++) {
+            switch (reportFields.get(i)) {
+                case "busy_reqs" -> engine.reportedQueries = report[i];
+                case "cpu_share", "x1" -> engine.reportedBusy = Math.max(engine.reportedBusy, report[i]);
+                case "pending" -> engine.reportedBusy = report[i] >= 1 ? Math.max(1, engine.reportedBusy)
+                        : engine.reportedBusy;
+                default -> { }
+            }
+        }
+        if (engine.reportedBusy >= BUSY) {
+            press(now, engine);
+        }
+    }
+
+    private boolean doubtful(long now, Engine engine) {
+        double failed = engine.failures.at(now);
+        return failed > DOUBT_LEAST && failed > DOUBT_RATIO * engine.successes.at(now);
+    }
+
+    /** Drawn from the posterior of the engine's chance of success: a beta, as the quotient of two gammas. */
+    private double drawChance(long now, Engine engine) {
+        double good = drawGamma(1 + engine.successes.at(now));
+        return good / (good + drawGamma(1 + Math.max(0, engine.failures.at(now))));
+    }
+
+    /** Marsaglia and Tsang's method for a shape of one or more. */
+    private double drawGamma(double shape) {
+        double d = shape - 1.0 / 3;
+        double c = 1 / Math.sqrt(9 * d);
+        while (true) {
+            double x = random.nextGaussian();
+            double v = Math.pow(1 + c * x, 3);
+            if (v > 0 && Math.log(1 - random.nextDouble()) < x * x / 2 + d - d * v + d * Math.log(v)) {
+                return d * v;
+            }
+        }
+    }
+
+    /** Where probes are allowed, a doubtful engine with no trial out gets one now and then. */
+    private void wantProbes(long now) {
+        if (!mayProbe) {
+            return;
+        }
+        for (Engine engine : engines) {
+            if (engine.standing == Engine.Standing.READY && doubtful(now, engine) && engine.trialsOut == 0
+                    && !engine.probeOut && now - engine.probedAt > mostSoftLimit) {
+                engine.probeOut = true;
+                engine.probedAt = now;
+                probesWanted.add(engine);
+            }
+        }
+    }
+
+    private static double best(Track track) {
+        return track.bestPace == 0 ? 1 : track.bestPace;
+    }
+
+    private static double work(long now, Submission s) {
+        return s.estimate > 0 ? s.estimate * s.track.bias.at(now) : s.track.work.at(now);
+    }
+
+    /** Time that a hop sent now is expected to take on an ordinary engine. */
+    private long usual(long now, Submission s) {
+        return (long) (work(now, s) / s.track.terms.width() * best(s.track) * Math.max(1, fleetPace(now)));
+    }
+
+    private static long softLimit(long now, Submission s) {
+        return s.track.terms.softLimit() + (long) (s.track.terms.stretch() * work(now, s) / s.track.terms.width());
+    }
+
+    private static long softEnd(long now, Submission s) {
+        return Math.min(s.leavesAt, s.arrivedAt + softLimit(now, s));
+    }
+
+    /** From here on an answer pays nothing. */
+    private long tooLateAt(long now, Submission s) {
+        return s.track.terms.latePayoff() > 0 ? s.leavesAt - 2 * tick
+                : Math.min(s.leavesAt - 2 * tick, (long) (s.arrivedAt + softLimit(now, s) * LATE_MARGIN));
+    }
+
+    // ---- settings ----
+
+    private long number(String name, long otherwise) {
+        return settings.get(name) instanceof Number number ? number.longValue() : otherwise;
+    }
+
+    private double amount(String name, double otherwise) {
+        return settings.get(name) instanceof Number number ? number.doubleValue() : otherwise;
+    }
+
+    private boolean flag(String name) {
+        return Boolean.TRUE.equals(settings.get(name));
+    }
+
+    private List<?> list(String name) {
+        return settings.get(name) instanceof List<?> list ? list : List.of();
+    }
+
+    private double nth(String name, int place, double otherwise) {
+        List<?> list = list(name);
+        return place < list.size() && list.get(place) instanceof Number number ? number.doubleValue() : otherwise;
+    }
+
+    private boolean nthFlag(String name, int place) {
+        List<?> list = list(name);
+        return place < list.size() && Boolean.TRUE.equals(list.get(place));
+    }
+
+    private List<Integer> bound(String name) {
+        return settings.containsKey(name)
+                ? list(name).stream().filter(Number.class::isInstance).map(n -> ((Number) n).intValue()).toList() : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -0,0 +1,48 @@
+package tillerlink.model;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One engine as this gateway knows it: what it was told, and what it counted itself. */
+public final class Engine {
+    /** What the list says of an engine's process. */
+    public enum Standing { READY, DRAINING, GONE }
+
+    /** The door's own handle; the module never looks at it. */
+    public final Object tag;
+    public int kind;
+    public int zone;
+    public int cell;
+    public double weight = 1;
+    public Standing standing = Standing.GONE;
+    public long startedAt;
+
+    /** Hops that are out, oldest first. */
+    public final List<Hop> out = new ArrayList<>();
+    public int[] outByTrack = new int[0];
+    public int threadsOut;
+    public double memoryOut;
+    public int trialsOut;
+    /** Table groups sent here lately, latest last. */
+    public final ArrayDeque<Integer> groups = new ArrayDeque<>();
+
+    public DecayingSum successes;
+    public DecayingSum failures;
+    public DecayingMean pace;
+    public SlidingSum workSent;
+    public double boundFactor;
+    public long pressedUntil = Long.MIN_VALUE;
+    public long boundCutAt = Long.MIN_VALUE;
+    public long heardAt = Long.MIN_VALUE;
+    public long reportedAt = Long.MIN_VALUE;
+    public double reportedQueries;
+    /** The busiest of what it said of its cores and disks, 1 being all. */
+    public double reportedBusy;
+    public long probedAt = Long.MIN_VALUE;
+    public boolean probeOut;
+
+    public Engine(Object tag) {
+        this.tag = tag;
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/model/Hop.java
@@ -0,0 +1,47 @@
+package tillerlink.model;
+
+/** One sending of a submission to an engine. */
+public final class Hop {
+    public final Submission submission;
+    public final Engine engine;
+    public final int number;
+    public final long sentAt;
+    /** Time it is expected to take, as judged when it was placed. */
+    public final long expected;
+    /** Time it would take alone on an ordinary engine, as judged when it was placed. */
+    public final double nominal;
+    /** Time-out; 0 means until the client gives up. */
+    public final long within;
+    public final double memory;
+    /** Sent to learn whether a doubtful engine is back. */
+    public final boolean trial;
+
+    public boolean sent;
+    public boolean wantedOff;
+    public boolean calledOff;
+    public double share;
+    public long notedAt = Long.MIN_VALUE;
+    /** Null while it is out. */
+    public Outcome outcome;
+
+    public Hop(Submission submission, Engine engine, long sentAt, long expected, double nominal, long within,
+               double memory, boolean trial) {
+        this.submission = submission;
+        this.engine = engine;
+        this.number = submission.hops.size();
+        this.sentAt = sentAt;
+        this.expected = expected;
+        this.nominal = nominal;
+        this.within = within;
+        this.memory = memory;
+        this.trial = trial;
+    }
+
+    public boolean isOut() {
+        return outcome == null;
+    }
+
+    public boolean mayHaveRun() {
+        return outcome == null || !outcome.provesIdle;
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/model/Track.java
@@ -0,0 +1,30 @@
+package tillerlink.model;
+
+import java.util.ArrayDeque;
+
+/** A kind of submission: its terms, its queue and what was measured of it. */
+public final class Track {
+    public final int index;
+    public final TrackTerms terms;
+    /** Held submissions, first come first. */
+    public final ArrayDeque<Submission> queue = new ArrayDeque<>();
+    /** True work over estimate. */
+    public final DecayingMean bias;
+    /** True memory over estimate. */
+    public final DecayingMean memoryBias;
+    /** Work of a submission. */
+    public final DecayingMean work;
+    /** Time taken over the time alone. */
+    public final DecayingMean pace;
+    public double bestPace;
+
+    public Track(int index, TrackTerms terms, DecayingMean bias, DecayingMean memoryBias, DecayingMean work,
+                 DecayingMean pace) {
+        this.index = index;
+        this.terms = terms;
+        this.bias = bias;
+        this.memoryBias = memoryBias;
+        this.work = work;
+        this.pace = pace;
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/port/Orders.java
@@ -0,0 +1,30 @@
+package tillerlink.port;
+
+import tillerlink.model.Engine;
+import tillerlink.model.Hop;
+import tillerlink.model.Submission;
+
+/** What the module wants done. Times are tenths of a millisecond, grants megabytes. */
+public interface Orders {
+    /** Priority (at once, also for hops that are out) and memory grant (from the next hop on; 0: the engine's own). */
+    void terms(Submission submission, int rank, long grant);
+
+    /** @param within time-out; 0 means until the client gives up */
+    void send(Hop hop, long within);
+
+    void callOff(Hop hop);
+
+    /** @param comeBack how long the client should stay away; 0 means no advice */
+    void turnBack(Submission submission, long comeBack);
+
+    void breakOff(Submission submission);
+
+    void wake(long at);
+
+    void probe(Engine engine);
+
+    /** Asks to be told of changes to the engine list from now on. */
+    void follow();
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/tillerlink/port/Steering.java
@@ -0,0 +1,49 @@
+package tillerlink.port;
+
+import java.util.List;
+import tillerlink.model.Engine;
+import tillerlink.model.Hop;
+import tillerlink.model.Listed;
+import tillerlink.model.Note;
+import tillerlink.model.Outcome;
+import tillerlink.model.Submission;
+
+/**
+ * What happens to one gateway, told to the module in the order in which it happened. Times are tenths of a
+ * millisecond. After the last of the events of one moment, {@link #settle} is called once; only then does the module
+ * give {@link Orders}. A report is a row of numbers in the order of the setting {@code report.fields}, or null.
+ */
+public interface Steering {
+    /** The list of engines changed; {@code whole} means that engines not in it are gone. */
+    void listed(long now, boolean whole, List<Listed> entries);
+
+    /** A call to the engine list failed, or the subscription broke. */
+    void listFailed(long now);
+
+    void arrived(long now, Submission submission);
+
+    /** The answer began to reach the client. */
+    void begun(long now, Hop hop);
+
+    void noted(long now, Hop hop, Note note, double level);
+
+    /**
+     * A hop ended.
+     *
+     * @param answered the client has its final answer
+     * @param work     true work in tenths of a millisecond, 0 if not told
+     * @param memory   memory that was needed in MB, 0 if not told
+     */
+    void ended(long now, Hop hop, Outcome outcome, long lag, boolean answered, double work, double memory,
+               double[] report);
+
+    /** The client went; nothing is owed any more. */
+    void left(long now, Submission submission);
+
+    void probed(long now, Engine engine, boolean wentWell, double[] report);
+
+    /** A time asked for by {@link Orders#wake} has come. */
+    void woken(long now);
+
+    void settle(long now);
+}
