--- a/src/main/java/tillerlink/wirehost/Json.java
+++ b/src/main/java/tillerlink/wirehost/Json.java
@@ -1,6 +1,5 @@
 package tillerlink.wirehost;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
@@ -11,10 +10,7 @@
 
 /** Plain values from Jackson's token stream. */
 final class Json {
-    private final JsonFactory factory = new JsonFactory();
-
-    JsonFactory factory() {
-        return factory;
+    private Json() {
     }
 
     /** The value that begins at the parser's current token. */
--- a/src/main/java/tillerlink/wirehost/WireHost.java
+++ b/src/main/java/tillerlink/wirehost/WireHost.java
@@ -1,15 +1,16 @@
 package tillerlink.wirehost;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,14 +22,17 @@
 
 /** Hosts many gateways on the simulator's wire: a line of events in, a line of actions out. They share nothing. */
 public final class WireHost {
-    private final SteeringFactory factory;
-    private final Json json = new Json();
+    private final SteeringFactory steerings;
+    private final JsonFactory factory = new JsonFactory();
+    private final ByteArrayOutputStream reply = new ByteArrayOutputStream();
+    private final JsonGenerator actions;
     private final Map<Integer, Instance> instances = new HashMap<>();
     private final Map<Integer, List<Row>> pages = new HashMap<>();
     private final Set<Integer> touched = new LinkedHashSet<>();
 
-    public WireHost(SteeringFactory factory) {
-        this.factory = factory;
+    public WireHost(SteeringFactory steerings) throws IOException {
+        this.steerings = steerings;
+        actions = factory.createGenerator(reply).setRootValueSeparator(new com.fasterxml.jackson.core.io.SerializedString(""));
     }
 
     /** Answers batches until the input ends. */
@@ -41,31 +45,32 @@
                 continue;
             }
             try {
-                out.write(answer(line).getBytes(StandardCharsets.UTF_8));
+                answer(line, out);
             } catch (JsonProcessingException e) {
                 throw new MalformedWireException("line " + lineNumber + " is not JSON: " + e.getOriginalMessage());
             } catch (MalformedWireException e) {
                 throw new MalformedWireException("line " + lineNumber + ": " + e.getMessage());
             }
-            out.flush();
         }
     }
 
     /** The reply to one batch, with the line's end. */
-    String answer(String line) throws IOException {
-        StringWriter text = new StringWriter();
-        try (JsonParser parser = json.factory().createParser(line);
-             JsonGenerator actions = json.factory().createGenerator(text)) {
+    private void answer(String line, OutputStream out) throws IOException {
+        try (JsonParser parser = factory.createParser(line)) {
             actions.writeStartObject();
             actions.writeArrayFieldStart("do");
-            batch(parser, actions);
+            batch(parser);
             actions.writeEndArray();
             actions.writeEndObject();
         }
-        return text.append('\n').toString();
+        actions.writeRaw('\n');
+        actions.flush();
+        reply.writeTo(out);
+        reply.reset();
+        out.flush();
     }
 
-    private void batch(JsonParser parser, JsonGenerator actions) throws IOException {
+    private void batch(JsonParser parser) throws IOException {
         if (parser.nextToken() != JsonToken.START_OBJECT) {
             throw new MalformedWireException("a batch is not an object");
         }
@@ -86,25 +91,25 @@
             }
         }
         if (clock == null || inbox == null) {
-            throw new MalformedWireException("a batch lacks its clock (wall_us, a whole number) or its inbox (an array)");
+            throw new MalformedWireException("a batch lacks its clock (wall_us) or its inbox (an array)");
         }
         if (parser.nextToken() != null) {
             throw new MalformedWireException("more than one value on a line");
         }
         long now = Units.toTenths(clock);
         for (Message event : inbox) {
-            take(now, event, actions);
+            take(now, event);
         }
         for (int number : touched) {
             Instance instance = instances.get(number);
             if (instance != null) {
-                guarded(number, instance, actions, () -> instance.steering().settle(now));
+                guarded(instance, () -> instance.steering().settle(now));
             }
         }
         touched.clear();
     }
 
-    private void take(long now, Message event, JsonGenerator actions) throws IOException {
+    private void take(long now, Message event) throws IOException {
         if (event.name().equals("DefineList")) {
             List<Row> rows = new ArrayList<>();
             event.list(2, "rows").forEach(raw -> rows.add(Row.of(raw)));
@@ -113,28 +118,28 @@
         }
         int number = (int) event.number(1, "gateway_id");
         switch (event.name()) {
-            case "Up" -> start(now, number, event, actions);
+            case "Up" -> start(now, number, event);
             case "Retire" -> {
                 instances.remove(number);
                 touched.remove(number);
             }
-            default -> pass(now, number, event, actions);
+            default -> pass(now, number, event);
         }
     }
 
-    private void start(long now, int number, Message event, JsonGenerator actions) throws IOException {
+    private void start(long now, int number, Message event) throws IOException {
         long seed = event.number(2, "rng_seed");
         Map<String, Object> settings = event.object(3, "settings");
         touched.remove(number);
         touched.add(number);
         try {
-            instances.put(number, new Instance(number, now, seed, settings, factory, actions));
+            instances.put(number, new Instance(number, now, seed, settings, steerings, actions));
         } catch (RuntimeException e) {
-            panic(number, actions, e);
+            panic(number, e);
         }
     }
 
-    private void pass(long now, int number, Message event, JsonGenerator actions) {
+    private void pass(long now, int number, Message event) {
         Instance instance = instances.get(number);
         if (instance == null) {
             System.err.println("tillerlink: event " + event.name() + " for gateway " + number + ", which is not up");
@@ -143,14 +148,14 @@
         touched.add(number);
         List<Row> rows = event.name().equals("BackendsChanged")
                 ? pages.getOrDefault((int) event.numberOr(4, -1), List.of()) : List.of();
-        guarded(number, instance, actions, () -> {
+        guarded(instance, () -> {
             if (!instance.take(now, event, rows)) {
                 instance.log("unknown event " + event.name() + " ignored");
             }
         });
     }
 
-    private void guarded(int number, Instance instance, JsonGenerator actions, Runnable work) {
+    private void guarded(Instance instance, Runnable work) {
         try {
             work.run();
         } catch (MalformedWireException e) {
@@ -161,7 +166,7 @@
         }
     }
 
-    private static void panic(int number, JsonGenerator actions, RuntimeException e) throws IOException {
+    private void panic(int number, RuntimeException e) throws IOException {
         e.printStackTrace();
         actions.writeStartArray();
         actions.writeString("Panic");
