--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -820,9 +820,12 @@
         wake(s, Math.min(s.leavesAt - 2 * tick, now + quietLimit(s, hop)));
     }
 
-    /** Where hops can be called off, no time-out is needed; elsewhere it is the only way out of a silent engine. */
+    /**
+     * Only a trial has a time-out of its own. Guards against work that runs on uncounted: where nothing can be called
+     * off, a hop that timed out would go on using its engine and look free. It may hurt on an engine just gone silent.
+     */
     private long within(long now, Submission s, long expected, boolean trial) {
-        if (mayCallOff || (s.track.terms.latePayoff() > 0 && !trial)) {
+        if (!trial) {
             return 0;
         }
         return Math.max(1, Math.min(s.leavesAt - now, Math.max((long) (QUIET * expected), softLimit(now, s) / 2)));
