--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -716,17 +716,21 @@
         double pace = engine.pace.at(now);
         if (pace > FAR) {
             press(now, engine);
-            if (now >= engine.boundCutAt) {
-                double used = engine.threadsOut / (cores(engine) / gateways);
-                double from = Math.min(engine.boundFactor, Math.max(used, BOUND_START));
-                engine.boundFactor = Math.max(BOUND_LEAST, from * BOUND_CUT);
-                engine.boundCutAt = now + leastSoftLimit;
-            }
+            cutBound(now, engine);
         } else if (pace < EASY && engine.threadsOut + 1 >= bound(engine)) {
             engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
         }
     }
 
+    private void cutBound(long now, Engine engine) {
+        if (now >= engine.boundCutAt) {
+            double used = engine.threadsOut / (cores(engine) / gateways);
+            double from = Math.min(engine.boundFactor, Math.max(used, BOUND_START));
+            engine.boundFactor = Math.max(BOUND_LEAST, from * BOUND_CUT);
+            engine.boundCutAt = now + leastSoftLimit;
+        }
+    }
+
     // ---- rule guards ----
 
     /** Placement, drains, repeats and cold engines: where a submission may go at all. */
@@ -941,7 +945,9 @@
             }
             case FULL -> {
                 engine.heardAt = now;
+                engine.failures.add(now, 1);
                 press(now, engine);
+                cutBound(now, engine);
             }
             case ERRED -> {
                 engine.heardAt = now;
