--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -48,7 +48,7 @@
     /** Hops a pace needs before it can be the best seen. */
     private static final double ENOUGH = 6;
     /** A single hop's pace counts as at most this, in times of the best. */
-    private static final double PACE_CAP = 6;
+    private static final double PACE_CAP = 3;
     private static final int WARM_GROUPS = 4;
     /** An engine this much slower than the fleet counts as having fewer cores. */
     private static final double SLOWER = 1.4;
@@ -699,7 +699,23 @@
 
     // ---- the thread bound ----
 
+    /**
+     * Guards against a jam that hides itself: an engine that answers little gives no pace, so the age of what is out
+     * there counts as well. It should hold against any stall; it may hurt where long hops outlast poor estimates.
+     */
+    private boolean stalled(long now, Engine engine) {
+        double ages = 0;
+        for (Hop hop : engine.out) {
+            ages += Math.min(PACE_CAP, (now - hop.sentAt) / Math.max(1, hop.nominal * best(hop.submission.track)));
+        }
+        return ages > FAR * engine.out.size();
+    }
+
     private boolean bounded(long now, Engine engine) {
+        if (now >= engine.pressedUntil && stalled(now, engine)) {
+            press(now, engine);
+            cutBound(now, engine);
+        }
         return now < engine.pressedUntil && engine.threadsOut > 0 && engine.threadsOut >= bound(engine);
     }
 
@@ -925,10 +941,9 @@
         long age = now - hop.sentAt;
         double projected = age / Math.max(LEAST_SHARE, hop.share);
         double usual = hop.nominal * best(hop.submission.track) * Math.max(1, hop.engine.pace.at(now));
-        if (projected < BAD_PLAN * usual) {
-            hop.engine.pace.add(now, Math.min(PACE_CAP, projected / hop.nominal / best(hop.submission.track)), 0.5);
-            adjustBound(now, hop.engine);
-        } else if (projected - age > FAR * usual && mayCallOff && hop.submission.ending == null
+        hop.engine.pace.add(now, Math.min(PACE_CAP, projected / hop.nominal / best(hop.submission.track)), 0.5);
+        adjustBound(now, hop.engine);
+        if (projected > BAD_PLAN * usual && projected - age > FAR * usual && mayCallOff && hop.submission.ending == null
                 && mayHopOn(now, hop.submission)) {
             callOff(hop);
         }
@@ -974,21 +989,21 @@
         Submission s = hop.submission;
         Track track = s.track;
         if (work > 0 && s.estimate > 0) {
-            track.bias.add(now, Math.min(PACE_CAP, work / s.estimate), 1);
+            track.bias.add(now, Math.min(2 * PACE_CAP, work / s.estimate), 1);
         }
         if (memory > 0 && s.memoryEstimate > 0) {
-            track.memoryBias.add(now, Math.min(PACE_CAP, memory / s.memoryEstimate), 1);
+            track.memoryBias.add(now, Math.min(2 * PACE_CAP, memory / s.memoryEstimate), 1);
         }
         track.work.add(now, work > 0 ? work : s.estimate > 0 ? work(now, s) : lag * track.terms.width(), 1);
         double nominal = work > 0 ? work / track.terms.width() : hop.nominal;
         double pace = lag / Math.max(1, nominal);
-        track.pace.add(now, Math.min(pace, PACE_CAP * best(track)), 1);
+        track.pace.add(now, Math.min(pace, 2 * PACE_CAP * best(track)), 1);
         if (track.pace.weight(now) >= ENOUGH) {
             double mean = track.pace.at(now);
             track.bestPace = track.bestPace == 0 ? mean : Math.min(track.bestPace, mean);
         }
-        if (hop.engine.outByTrack.length > 0 && pace < BAD_PLAN * best(track) * Math.max(1, hop.engine.pace.at(now))) {
-            hop.engine.pace.add(now, pace / best(track), 1);
+        if (hop.engine.outByTrack.length > 0) {
+            hop.engine.pace.add(now, Math.min(PACE_CAP, pace / best(track)), 1);
             adjustBound(now, hop.engine);
         }
     }
