--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -92,6 +92,7 @@
     private final List<Engine> probesWanted = new ArrayList<>();
     private final PriorityQueue<Alarm> alarms =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private long pressedUntil = Long.MIN_VALUE;
     private long alarmsMade;
     private long armedFor = Long.MAX_VALUE;
     private boolean followWanted;
@@ -222,7 +223,6 @@
         engine.pace.clear();
         engine.groups.clear();
         engine.boundFactor = BOUND_START;
-        engine.pressedUntil = Long.MIN_VALUE;
     }
 
     private boolean forgetEntirely(Engine engine) {
@@ -712,26 +712,30 @@
     }
 
     private boolean bounded(long now, Engine engine) {
-        if (now >= engine.pressedUntil && stalled(now, engine)) {
-            press(now, engine);
+        if (stalled(now, engine)) {
+            press(now);
             cutBound(now, engine);
         }
-        return now < engine.pressedUntil && engine.threadsOut > 0 && engine.threadsOut >= bound(engine);
+        return now < pressedUntil && engine.threadsOut > 0 && engine.threadsOut >= bound(engine);
     }
 
     private double bound(Engine engine) {
         return cores(engine) / gateways * engine.boundFactor;
     }
 
-    private void press(long now, Engine engine) {
-        engine.pressedUntil = now + mostSoftLimit;
+    /**
+     * Pressure at one engine bounds all. Guards against a chain of falls: what a bounded engine may not have would
+     * all go to the next one that shows nothing yet. It may hurt while one engine alone is slow and the rest idle.
+     */
+    private void press(long now) {
+        pressedUntil = now + mostSoftLimit;
     }
 
     /** The bound's figure falls while the pace is far above the best seen and grows again while it is not. */
     private void adjustBound(long now, Engine engine) {
         double pace = engine.pace.at(now);
         if (pace > FAR) {
-            press(now, engine);
+            press(now);
             cutBound(now, engine);
         } else if (pace < EASY && engine.threadsOut + 1 >= bound(engine)) {
             engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
@@ -961,7 +965,7 @@
             case FULL -> {
                 engine.heardAt = now;
                 engine.failures.add(now, 1);
-                press(now, engine);
+                press(now);
                 cutBound(now, engine);
             }
             case ERRED -> {
@@ -1024,7 +1028,7 @@
             }
         }
         if (engine.reportedBusy >= BUSY) {
-            press(now, engine);
+            press(now);
         }
     }
 
