--- /dev/null
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -0,0 +1,146 @@
+package tillerlink;
+
+import static tillerlink.model.Engine.Standing.DRAINING;
+import static tillerlink.model.Engine.Standing.GONE;
+import static tillerlink.model.Engine.Standing.READY;
+import static tillerlink.model.Outcome.CALLED_OFF;
+import static tillerlink.model.Outcome.ERRED;
+import static tillerlink.model.Outcome.FULFILLED;
+import static tillerlink.model.Outcome.FULL;
+import static tillerlink.model.Outcome.OVERDUE;
+import static tillerlink.model.Outcome.SEVERED;
+import static tillerlink.model.Outcome.UNREACHABLE;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each test plays a short story and compares what the module ordered with the trace kept for it. */
+class PolicyTest {
+    @Test
+    void fewestOfTheClassPerCore() {
+        Trace t = new Trace().up("a0", "big0");
+        for (int i = 1; i <= 6; i++) {
+            t.arrive("s" + i, 0, 100, i, null);
+        }
+        t.matches("fewest");
+    }
+
+    @Test
+    void warmGroupBreaksTies() {
+        Trace t = new Trace().track("repeatable").up("a0", "b0", "c0");
+        t.arrive("first", 0, 100, 9, null).pass(100).end("first", FULFILLED);
+        t.say("idle again: the group's engine is warm").arrive("second", 0, 100, 9, null);
+        t.pass(100).end("second", FULFILLED);
+        t.say("busy with another class: warmth no longer draws").arrive("other", 1, 100, 9, null)
+                .arrive("third", 0, 100, 9, null);
+        t.matches("warm");
+    }
+
+    @Test
+    void queueIsFirstComeUnderPressure() {
+        Trace t = new Trace().set("instances", 8L).up("a0", "b0");
+        t.arrive("s1", 0, 300).arrive("s2", 0, 300).end("s1", FULL).say("pressure: one or two threads an engine");
+        t.arrive("s3", 0, 300).arrive("s4", 0, 300).arrive("s5", 0, 300).arrive("s6", 0, 300);
+        t.pass(300).end("s2", FULFILLED).pass(20).end("s1", FULFILLED).pass(20).end("s3", FULFILLED);
+        t.pass(1500).matches("fifo");
+    }
+
+    @Test
+    void pressureAtOneEngineBoundsAll() {
+        Trace t = new Trace().set("instances", 8L).up("a0", "b0", "c0");
+        t.arrive("s1", 0, 300).end("s1", FULL).say("a0 or its like was full: the others are not flooded");
+        for (int i = 2; i <= 8; i++) {
+            t.arrive("s" + i, 0, 300);
+        }
+        t.matches("bounds-all");
+    }
+
+    @Test
+    void effectfulNeverRunsTwice() {
+        Trace t = new Trace().track("once").up("a0", "b0");
+        t.arrive("unseen", 1, 100).end("unseen", UNREACHABLE).pass(50).end("unseen", SEVERED);
+        t.arrive("erred", 1, 100).end("erred", ERRED);
+        t.arrive("silent", 1, 100).pass(6000).end("silent", OVERDUE);
+        t.matches("effectful");
+    }
+
+    @Test
+    void receiptedStaysInItsZoneAndWindow() {
+        Trace t = new Trace().track("by_key", "group", "zone").up("a0", "b0", "c1", "d1");
+        t.arrive("r1", 1, 100).end("r1", ERRED).end("r1", ERRED).pass(1990).say("the window of 2 s has passed");
+        t.end("r1", ERRED).matches("receipted");
+    }
+
+    @Test
+    void nothingNewToADrainingEngine() {
+        Trace t = new Trace().up("a0", "b0").list("b0", DRAINING, 0);
+        t.arrive("s1", 0, 100).arrive("s2", 0, 100).list("a0", GONE, 0).arrive("s3", 0, 100);
+        t.list("c0", READY, 0).pass(10).matches("drain");
+    }
+
+    @Test
+    void coldEngineGetsOnlyItsShare() {
+        Trace t = new Trace().up("a0").pass(5000).list("b0", READY, 1000);
+        t.say("b0 started a second ago: 8 cores x 0.3 x 2.5 x 1.5 s / 2 gateways, a third of it used");
+        for (int i = 1; i <= 8; i++) {
+            t.arrive("s" + i, 0, 400, i, null);
+        }
+        t.matches("cold");
+    }
+
+    @Test
+    void restartedGatewayLeavesColdEnginesAloneAtFirst() {
+        Trace t = new Trace().up().list("a0", READY, 1000);
+        t.arrive("s1", 0, 100).pass(400).say("after the stated span").arrive("s2", 0, 100).pass(1200)
+                .arrive("s3", 0, 100).matches("cold-restart");
+    }
+
+    @Test
+    void keysTakeTurnsAndRestAfterDoubt() {
+        Trace t = new Trace().track("repeatable", "keep_order", true).set("guarantees.settle_after_doubt", 3000L);
+        t.up("a0", "b0").arrive("k1", 1, 100, 1, "x").arrive("k2", 1, 100, 1, "x").arrive("other", 1, 100, 1, "y");
+        t.pass(100).end("k1", FULFILLED).pass(100).end("k2", SEVERED).pass(50).end("k2", FULFILLED)
+                .arrive("k3", 1, 100, 1, "x").pass(400).matches("order");
+    }
+
+    @Test
+    void placementIsKeptEvenWhenAllAllowedAreDown() {
+        Trace t = new Trace().track("repeatable", "zones_open", List.of(1)).up("a0", "b1");
+        t.arrive("s1", 1, 100).end("s1", UNREACHABLE).pass(100).list("b1", GONE, 0).arrive("s2", 1, 100);
+        t.pass(2000).matches("placement");
+    }
+
+    @Test
+    void furtherHopsStayInTheBudget() {
+        Trace t = new Trace().set("guarantees.budget_span", 50000L, "guarantees.extra_floor", 1.0,
+                "guarantees.further_ratio", 0.0).up("a0", "b0");
+        t.arrive("s1", 0, 100).end("s1", ERRED).arrive("s2", 0, 100).end("s2", ERRED);
+        t.pass(6000).say("the span has passed").end("s1", FULFILLED).arrive("s3", 0, 100).end("s3", ERRED);
+        t.matches("budget");
+    }
+
+    @Test
+    void listIsFollowedAgainAfterAFailure() {
+        new Trace().set("discovery", "ask", "guarantees.ask_within", 100000L).up("a0").listFails().pass(3000)
+                .matches("ask");
+    }
+
+    @Test
+    void silentEngineLosesItsWorkAndIsTriedAgain() {
+        Trace t = new Trace().up("a0", "b0");
+        t.arrive("s1", 0, 100, 1, null).arrive("s2", 0, 100, 2, null).pass(100).end("s2", FULFILLED);
+        t.pass(500).say("s1 is called off and sent anew").end("s1", CALLED_OFF);
+        for (int i = 3; i <= 6; i++) {
+            t.arrive("s" + i, 0, 100, i, null);
+        }
+        t.pass(9000).say("it is never quite forgotten").arrive("s7", 0, 100, 7, null).arrive("s8", 0, 100, 8, null);
+        t.matches("silent");
+    }
+
+    @Test
+    void badPlanIsSentAnew() {
+        Trace t = new Trace().track("repeatable", "late_worth", 0.3).up("a0", "b0");
+        t.arrive("fine", 1, 400).arrive("bad", 1, 400).pass(300).note("fine", 0.7).note("bad", 0.02);
+        t.end("bad", CALLED_OFF).matches("bad-plan");
+    }
+}
--- /dev/null
+++ b/src/test/java/tillerlink/Trace.java
@@ -0,0 +1,193 @@
+package tillerlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import tillerlink.model.Engine;
+import tillerlink.model.Hop;
+import tillerlink.model.KeyLine;
+import tillerlink.model.Listed;
+import tillerlink.model.Note;
+import tillerlink.model.Outcome;
+import tillerlink.model.Submission;
+import tillerlink.port.Orders;
+
+/** A door for tests: plays events to one module and prints what it orders, a line each. Times are milliseconds. */
+final class Trace implements Orders {
+    private static final int TENTHS = 10;
+    private static final long START = 1_000_000;
+
+    private final Map<String, Object> settings = new LinkedHashMap<>();
+    private final Map<String, Engine> engines = new LinkedHashMap<>();
+    private final Map<String, Submission> submissions = new LinkedHashMap<>();
+    private final Map<String, KeyLine> lines = new LinkedHashMap<>();
+    private final StringBuilder printed = new StringBuilder();
+    private Policy policy;
+    private long now = START;
+    private long wakeAt = Long.MAX_VALUE;
+
+    /** Two gateways, 8-core engines, one pure track of width 1 unless changed; times are tenths. */
+    Trace() {
+        set("instances", 2L, "az", 0L, "tick", 50L, "caps.max_attempts", 4L, "caps.may_cancel", true,
+                "caps.retry_after", true, "caps.max_retry_after", 5000L, "guarantees.drain_grace", 5000L,
+                "guarantees.fall_multiple", 2.5, "guarantees.fall", 15000L, "guarantees.start_capacity", 0.3,
+                "guarantees.warm_within", 100000L, "family_info.kind_cores", List.of(8, 16), "profiles", 0L);
+        track("repeatable");
+    }
+
+    Trace set(Object... namesAndValues) {
+        for (int i = 0; i < namesAndValues.length; i += 2) {
+            settings.put((String) namesAndValues[i], namesAndValues[i + 1]);
+        }
+        return this;
+    }
+
+    /** Adds a track: soft limit 1 s, hard stop 5 s, payoff 1. */
+    Trace track(String semantics, Object... more) {
+        long place = (Long) settings.get("profiles");
+        String at = "profiles." + place + ".";
+        set("profiles", place + 1, at + "semantics", semantics, at + "group", "all", at + "aim", 10000L,
+                at + "hard_limit", 50000L, at + "worth", 1.0, at + "window", 20000L);
+        for (int i = 0; i < more.length; i += 2) {
+            set(at + more[i], more[i + 1]);
+        }
+        return this;
+    }
+
+    Trace up(String... ready) {
+        policy = new Policy(now, 7, settings, this);
+        for (String name : ready) {
+            list(name, Engine.Standing.READY, 0);
+        }
+        return this;
+    }
+
+    /** An engine's zone is the digit at the end of its name; names that begin with "big" are of kind 1. */
+    Trace list(String name, Engine.Standing standing, long startedAgo) {
+        Engine engine = engines.computeIfAbsent(name, Engine::new);
+        policy.listed(now, false, List.of(new Listed(engine, name.startsWith("big") ? 1 : 0,
+                name.charAt(name.length() - 1) - '0', 0, 1, standing, startedAgo == 0 ? 0 : now - startedAgo * TENTHS)));
+        return settle();
+    }
+
+    Trace listFails() {
+        policy.listFailed(now);
+        return settle();
+    }
+
+    Trace arrive(String id, int track, double workMs) {
+        return arrive(id, track, workMs, 0, null);
+    }
+
+    Trace arrive(String id, int track, double workMs, int tableGroup, String key) {
+        KeyLine line = key == null ? null : lines.computeIfAbsent(key, k -> new KeyLine());
+        Submission s = new Submission(id, track, tableGroup, false, now, now + 50000, workMs * TENTHS, 0, line);
+        submissions.put(id, s);
+        policy.arrived(now, s);
+        return settle();
+    }
+
+    /** The newest hop of a submission ends. */
+    Trace end(String id, Outcome outcome) {
+        Submission s = submissions.get(id);
+        Hop hop = s.hops.get(s.hops.size() - 1);
+        print(id + " " + outcome + " at " + hop.engine.tag);
+        policy.ended(now, hop, outcome, now - hop.sentAt, outcome == Outcome.FULFILLED, 0, 0, null);
+        return settle();
+    }
+
+    Trace note(String id, double share) {
+        Submission s = submissions.get(id);
+        policy.noted(now, s.hops.get(s.hops.size() - 1), Note.PROGRESS, share);
+        return settle();
+    }
+
+    /** Lets time pass, waking the module when it asked for it. */
+    Trace pass(long ms) {
+        long until = now + ms * TENTHS;
+        while (wakeAt <= until) {
+            now = Math.max(now, wakeAt);
+            wakeAt = Long.MAX_VALUE;
+            policy.woken(now);
+            settle();
+        }
+        now = until;
+        return this;
+    }
+
+    Trace say(String comment) {
+        printed.append("# ").append(comment).append('\n');
+        return this;
+    }
+
+    /** Compares with the kept trace. */
+    void matches(String kept) {
+        try (InputStream in = Trace.class.getResourceAsStream("/traces/" + kept + ".txt")) {
+            String wanted = in == null ? "(no kept trace)" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(wanted, printed.toString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Trace settle() {
+        policy.settle(now);
+        return this;
+    }
+
+    private void print(String line) {
+        long ms = (now - START) / TENTHS;
+        printed.append(String.format("%5d  %s%n", ms, line));
+    }
+
+    @Override
+    public void terms(Submission s, int rank, long grant) {
+        // Ranks and grants are left out of the traces.
+    }
+
+    @Override
+    public void send(Hop hop, long within) {
+        print("send " + hop.submission.tag + " -> " + hop.engine.tag + (hop.trial ? " (trial)" : ""));
+    }
+
+    @Override
+    public void callOff(Hop hop) {
+        print("call off " + hop.submission.tag + " at " + hop.engine.tag);
+    }
+
+    @Override
+    public void turnBack(Submission s, long comeBack) {
+        print("turn back " + s.tag + ", come back in " + comeBack / TENTHS);
+    }
+
+    @Override
+    public void breakOff(Submission s) {
+        print("break off " + s.tag);
+    }
+
+    @Override
+    public void wake(long at) {
+        wakeAt = Math.min(wakeAt, at);
+    }
+
+    @Override
+    public void probe(Engine engine) {
+        print("probe " + engine.tag);
+    }
+
+    @Override
+    public void follow() {
+        print("follow the list");
+    }
+
+    @Override
+    public void log(String line) {
+        print("log " + line);
+    }
+}
