--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -3,33 +3,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
-import tillerlink.model.Circle;
-import tillerlink.model.DecayingMean;
-import tillerlink.model.DecayingSum;
-import tillerlink.model.Effect;
-import tillerlink.model.Ending;
-import tillerlink.model.Engine;
-import tillerlink.model.Hop;
-import tillerlink.model.KeyLine;
-import tillerlink.model.Listed;
-import tillerlink.model.Note;
-import tillerlink.model.Outcome;
-import tillerlink.model.SlidingSum;
-import tillerlink.model.Submission;
-import tillerlink.model.Track;
-import tillerlink.model.TrackTerms;
+import tillerlink.model.*;
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
 
 /**
  * All decisions of one gateway: what runs, where, and with how much memory.
  *
- * <p>Callers reach it through {@link tillerlink.port.SteeringFactory} and {@link Steering}, where the interface is
- * defined; it answers through {@link Orders}. Events only change what is known and wanted; {@link #settle} then
- * reviews what is due, sends what may go, and {@link #emit} alone works out the difference between the wanted and the
- * present state. Times are tenths of a millisecond. The design, and each departure from it, is in docs/design.md.
+ * <p>Callers reach it through {@link tillerlink.port.SteeringFactory} and {@link Steering}, where the
+ * interface is defined; it answers through {@link Orders}. Events only change what is known and wanted;
+ * {@link #settle} then reviews what is due, sends what may go, and {@link #emit} alone works out the
+ * difference between the wanted and the present state. Times are tenths of a millisecond. The design, and
+ * each departure from it, is in docs/design.md.
  */
 public final class Policy implements Steering {
     // Pressure and the thread bound (design, section "ordinary path", point 4).
@@ -81,7 +67,7 @@
     private static final double GRANT_MARGIN = 1.25;
 
     private final Orders orders;
-    private final Map<String, Object> settings;
+    private final Named settings;
     private final Random random;
     private final long startedAt;
     private final List<Track> tracks = new ArrayList<>();
@@ -90,10 +76,8 @@
     private final List<Submission> changed = new ArrayList<>();
     private final List<Submission> fresh = new ArrayList<>();
     private final List<Engine> probesWanted = new ArrayList<>();
-    private final PriorityQueue<Alarm> alarms =
-            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final Alarms alarms = new Alarms();
     private long pressedUntil = Long.MIN_VALUE;
-    private long alarmsMade;
     private long armedFor = Long.MAX_VALUE;
     private boolean followWanted;
     private long followAgainAt = Long.MAX_VALUE;
@@ -102,7 +86,6 @@
     private final int ownZone;
     private final boolean mayCallOff;
     private final boolean mayProbe;
-    private final boolean secondCopies;
     private final int mostHops;
     private final long tick;
     private final long settleTime;
@@ -117,29 +100,25 @@
     private final DecayingSum payoffSeen;
     private final DecayingSum workSeen;
 
-    private record Alarm(long at, long order, Submission submission) {
-    }
-
-    public Policy(long now, long seed, Map<String, Object> settings, Orders orders) {
+    public Policy(long now, long seed, Map<String, Object> values, Orders orders) {
         this.orders = orders;
-        this.settings = settings;
+        this.settings = new Named(values);
         random = new Random(seed);
         startedAt = now;
-        gateways = (int) Math.max(1, number("instances", 1));
-        ownZone = (int) number("az", -1);
-        mayCallOff = flag("caps.may_cancel");
-        mayProbe = flag("caps.may_probe");
-        secondCopies = flag("caps.second_copies");
-        mostHops = (int) number("caps.max_attempts", 1);
-        tick = number("tick", 1);
-        settleTime = number("guarantees.settle_after_doubt", 0) + tick;
-        noteEvery = number("family_info.tells_every", 0);
-        fallSpan = number("guarantees.fall", 0);
-        warmWithin = number("guarantees.warm_within", 0);
-        reportFields = list("report.fields").stream().map(String::valueOf).toList();
+        gateways = (int) Math.max(1, settings.number("instances", 1));
+        ownZone = (int) settings.number("az", -1);
+        mayCallOff = settings.flag("caps.may_cancel");
+        mayProbe = settings.flag("caps.may_probe");
+        mostHops = (int) settings.number("caps.max_attempts", 1);
+        tick = settings.number("tick", 1);
+        settleTime = settings.number("guarantees.settle_after_doubt", 0) + tick;
+        noteEvery = settings.number("family_info.tells_every", 0);
+        fallSpan = settings.number("guarantees.fall", 0);
+        warmWithin = settings.number("guarantees.warm_within", 0);
+        reportFields = settings.list("report.fields").stream().map(String::valueOf).toList();
         long least = Long.MAX_VALUE;
         long most = 1;
-        for (int i = 0; i < number("profiles", 0); i++) {
+        for (int i = 0; i < settings.number("profiles", 0); i++) {
             TrackTerms terms = terms(i);
             least = Math.min(least, terms.softLimit());
             most = Math.max(most, terms.softLimit());
@@ -150,32 +129,34 @@
         }
         leastSoftLimit = least;
         mostSoftLimit = most;
-        long budgetSpan = number("guarantees.budget_span", 0);
+        long budgetSpan = settings.number("guarantees.budget_span", 0);
         taken = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
         further = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
         payoffSeen = new DecayingSum(mostSoftLimit * 4.0);
         workSeen = new DecayingSum(mostSoftLimit * 4.0);
-        followWanted = "ask".equals(settings.get("discovery"));
+        followWanted = settings.text("discovery").equals("ask");
     }
 
     private TrackTerms terms(int i) {
         String at = "profiles." + i + ".";
-        Effect effect = switch (String.valueOf(settings.get(at + "semantics"))) {
+        Effect effect = switch (settings.text(at + "semantics")) {
             case "repeatable" -> Effect.PURE;
             case "by_key" -> Effect.RECEIPTED;
             default -> Effect.EFFECTFUL;
         };
-        Circle circle = switch (String.valueOf(settings.get(at + "group"))) {
+        Circle circle = switch (settings.text(at + "group")) {
             case "all" -> Circle.ALL;
             case "zone" -> Circle.ZONE;
             default -> Circle.CELL;
         };
-        long hardStop = number(at + "hard_limit", 1);
-        return new TrackTerms(effect, circle, number(at + "window", 0), Math.max(1, number(at + "aim", hardStop)),
-                amount(at + "aim_stretch", 0), hardStop, amount(at + "worth", 1), amount(at + "late_worth", 0),
-                (int) Math.max(1, nth("family_info.width_by_class", i, 1)), nthFlag("family_info.loads", i),
-                nthFlag("family_info.waits_for_loads", i), flag(at + "keep_order"), bound(at + "zones_open"),
-                bound(at + "models_allowed"));
+        long hardStop = settings.number(at + "hard_limit", 1);
+        return new TrackTerms(effect, circle, settings.number(at + "window", 0),
+                Math.max(1, settings.number(at + "aim", hardStop)), settings.amount(at + "aim_stretch", 0),
+                hardStop, settings.amount(at + "worth", 1), settings.amount(at + "late_worth", 0),
+                (int) Math.max(1, settings.nth("family_info.width_by_class", i, 1)),
+                settings.nthFlag("family_info.loads", i), settings.nthFlag("family_info.waits_for_loads", i),
+                settings.flag(at + "keep_order"), settings.numbers(at + "zones_open"),
+                settings.numbers(at + "models_allowed"));
     }
 
     // ---- events ----
@@ -189,7 +170,7 @@
         }
         for (Listed entry : entries) {
             Engine engine = entry.engine();
-            if (engine.outByTrack.length == 0) {
+            if (!engines.contains(engine)) {
                 prepare(engine);
                 engines.add(engine);
             }
@@ -203,7 +184,7 @@
             engine.standing = entry.standing();
             engine.startedAt = entry.startedAt();
         }
-        engines.removeIf(e -> e.standing == Engine.Standing.GONE && e.out.isEmpty() && forgetEntirely(e));
+        engines.removeIf(e -> e.standing == Engine.Standing.GONE && e.out.isEmpty());
         followAgainAt = Long.MAX_VALUE;
     }
 
@@ -225,16 +206,10 @@
         engine.boundFactor = BOUND_START;
     }
 
-    private boolean forgetEntirely(Engine engine) {
-        engine.outByTrack = new int[0];
-        engine.groups.clear();
-        return true;
-    }
-
     @Override
     public void listFailed(long now) {
-        if ("ask".equals(settings.get("discovery"))) {
-            long pause = Math.max(tick, number("guarantees.ask_within", 10 * leastSoftLimit) / 10);
+        if (settings.text("discovery").equals("ask")) {
+            long pause = Math.max(tick, settings.number("guarantees.ask_within", 10 * leastSoftLimit) / 10);
             followAgainAt = now + (long) (pause * (0.5 + random.nextDouble()));
         }
     }
@@ -249,12 +224,12 @@
         workSeen.add(now, work(now, s));
         if (s.line != null && s.track.terms.keepsOrder()) {
             s.line.members.addLast(s);
+            alarms.set(s, tooLateAt(now, s));
             advance(now, s.line);
         } else {
-            hold(s, false);
+            hold(now, s, false);
         }
         fresh.add(s);
-        wake(s, Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick));
     }
 
     @Override
@@ -269,7 +244,6 @@
             return;
         }
         hop.engine.heardAt = now;
-        hop.notedAt = now;
         if (note == Note.PROGRESS) {
             hop.share = level;
             judgeProgress(now, hop);
@@ -277,21 +251,15 @@
     }
 
     @Override
-    public void ended(long now, Hop hop, Outcome outcome, long lag, boolean answered, double work, double memory,
-                      double[] report) {
+    public void ended(long now, Hop hop, Outcome outcome, long lag, boolean answered, double work,
+                      double memory, double[] report) {
         Submission s = hop.submission;
         Engine engine = hop.engine;
         hop.outcome = outcome;
         s.hopsOut--;
-        engine.out.remove(hop);
-        if (engine.outByTrack.length > 0) {
-            engine.outByTrack[s.trackIndex]--;
-            engine.threadsOut -= s.track.terms.width();
-            engine.memoryOut -= hop.memory;
-            engine.trialsOut -= hop.trial ? 1 : 0;
-            judge(now, hop, outcome, lag);
-            read(now, engine, report);
-        }
+        engine.leave(hop);
+        judge(now, hop, outcome);
+        read(now, engine, report);
         if (outcome == Outcome.FULFILLED) {
             learn(now, hop, lag, work, memory);
         }
@@ -322,9 +290,6 @@
     @Override
     public void probed(long now, Engine engine, boolean wentWell, double[] report) {
         engine.probeOut = false;
-        if (engine.outByTrack.length == 0) {
-            return;
-        }
         if (wentWell) {
             engine.heardAt = now;
             succeed(now, engine, true);
@@ -341,15 +306,8 @@
 
     @Override
     public void settle(long now) {
-        while (!alarms.isEmpty() && alarms.peek().at <= now) {
-            Alarm alarm = alarms.poll();
-            Submission s = alarm.submission;
-            if (s.wakeAt == alarm.at) {
-                s.wakeAt = Long.MAX_VALUE;
-                if (s.ending == null) {
-                    review(now, s);
-                }
-            }
+        for (Submission due = alarms.due(now); due != null; due = alarms.due(now)) {
+            review(now, due);
         }
         if (followAgainAt <= now) {
             followAgainAt = Long.MAX_VALUE;
@@ -400,7 +358,7 @@
             orders.probe(engine);
         }
         probesWanted.clear();
-        long next = Math.min(alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().at, followAgainAt);
+        long next = Math.min(alarms.next(), followAgainAt);
         if (next < armedFor) {
             armedFor = Math.max(next, now + 1);
             orders.wake(armedFor);
@@ -414,23 +372,21 @@
         }
     }
 
-    private void wake(Submission s, long at) {
-        s.wakeAt = at;
-        alarms.add(new Alarm(at, alarmsMade++, s));
-    }
-
     // ---- queues ----
 
-    private void hold(Submission s, boolean first) {
+    private void hold(long now, Submission s, boolean first) {
         s.held = true;
         if (first) {
             s.track.queue.addFirst(s);
         } else {
             s.track.queue.addLast(s);
         }
+        alarms.set(s, Math.max(now + 1, Math.min(softEnd(now, s) - usual(now, s) + 1, lastMoment(s))));
     }
 
-    /** Sends what may go: of the queues' heads, the one that has used most of its time, as long as any fits. */
+    /**
+     * Sends what may go: of the queues' heads, the one that has used most of its time, as long as any fits.
+     */
     private void pump(long now) {
         int blocked = 0;
         while (true) {
@@ -480,10 +436,10 @@
     }
 
     /**
-     * Guards against a queue in which all wait too long to pay: the longer the head has waited, the smaller a new
-     * submission must be, against its track's mean, to be kept. It acts only while the bound holds the queue back,
-     * and answers at once. It should hold against any lasting want of capacity; it may hurt when one long wait at
-     * the head stands for no queue behind it.
+     * Guards against a queue in which all wait too long to pay: the longer the head has waited, the smaller a
+     * new submission must be, against its track's mean, to be kept. It acts only while the bound holds the
+     * queue back, and answers at once. It should hold against any lasting want of capacity; it may hurt when
+     * one long wait at the head stands for no queue behind it.
      */
     private void shed(long now) {
         for (Submission s : fresh) {
@@ -494,7 +450,8 @@
             if (head == null || head == s) {
                 continue;
             }
-            double used = (double) (now - head.arrivedAt) / Math.max(1, softLimit(now, head) - usual(now, head));
+            double most = Math.max(1, softLimit(now, head) - usual(now, head));
+            double used = (now - head.arrivedAt) / most;
             double limit = s.track.work.at(now) * Math.max(0, 1 - used) / Math.max(1e-3, used);
             if (work(now, s) > limit) {
                 giveUp(now, s);
@@ -505,8 +462,8 @@
     private void giveUp(long now, Submission s) {
         boolean back = mayTurnBack(s);
         s.ending = back ? Ending.TURNED_BACK : Ending.BROKEN_OFF;
-        if (back && flag("caps.retry_after")) {
-            s.comeBack = number("caps.max_retry_after", 0);
+        if (back && settings.flag("caps.retry_after")) {
+            s.comeBack = settings.number("caps.max_retry_after", 0);
         }
         change(s);
         callOffAll(s);
@@ -514,11 +471,7 @@
     }
 
     private void callOffAll(Submission s) {
-        for (Hop hop : s.hops) {
-            if (hop.isOut()) {
-                callOff(hop);
-            }
-        }
+        s.hops.stream().filter(Hop::isOut).forEach(this::callOff);
     }
 
     private void callOff(Hop hop) {
@@ -538,9 +491,9 @@
             return;
         }
         if (now >= line.restsUntil) {
-            hold(head, false);
+            hold(now, head, false);
         } else if (line.restsUntil < head.wakeAt) {
-            wake(head, line.restsUntil);
+            alarms.set(head, line.restsUntil);
         }
     }
 
@@ -604,7 +557,10 @@
         }
     }
 
-    /** LBQP: fewest of the class per core; over the expected average steps aside; a warm table group breaks ties. */
+    /**
+     * LBQP: fewest of the class per core; over the expected average steps aside; a warm table group breaks
+     * ties.
+     */
     private Engine fewest(long now, Submission s) {
         double fleetPace = fleetPace(now);
         double cores = 0;
@@ -638,8 +594,8 @@
                 continue;
             }
             double load = load(now, engine, fleetPace);
-            // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a hot
-            // group would heap its long queries there.
+            // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a
+            // hot group would heap its long queries there.
             boolean warm = engine.groups.contains(s.tableGroup) && load <= loads / ties + 1e-9;
             double rating = (warm ? 0 : 1000) + load + (engine.zone == ownZone ? 0 : 0.02)
                     + random.nextDouble() * 0.01;
@@ -667,7 +623,7 @@
     }
 
     private double cores(Engine engine) {
-        return Math.max(1, nth("family_info.kind_cores", engine.kind, 1));
+        return Math.max(1, settings.nth("family_info.kind_cores", engine.kind, 1));
     }
 
     /** An engine slower than the fleet, or still cold, counts with the cores it seems to have. */
@@ -700,13 +656,15 @@
     // ---- the thread bound ----
 
     /**
-     * Guards against a jam that hides itself: an engine that answers little gives no pace, so the age of what is out
-     * there counts as well. It should hold against any stall; it may hurt where long hops outlast poor estimates.
+     * Guards against a jam that hides itself: an engine that answers little gives no pace, so the age of what
+     * is out there counts as well. It should hold against any stall; it may hurt where long hops outlast poor
+     * estimates.
      */
     private boolean stalled(long now, Engine engine) {
         double ages = 0;
         for (Hop hop : engine.out) {
-            ages += Math.min(PACE_CAP, (now - hop.sentAt) / Math.max(1, hop.nominal * best(hop.submission.track)));
+            double usual = Math.max(1, hop.nominal * best(hop.submission.track));
+            ages += Math.min(PACE_CAP, (now - hop.sentAt) / usual);
         }
         return ages > FAR * engine.out.size();
     }
@@ -724,8 +682,9 @@
     }
 
     /**
-     * Pressure at one engine bounds all. Guards against a chain of falls: what a bounded engine may not have would
-     * all go to the next one that shows nothing yet. It may hurt while one engine alone is slow and the rest idle.
+     * Pressure at one engine bounds all. Guards against a chain of falls: what a bounded engine may not have
+     * would all go to the next one that shows nothing yet. It may hurt while one engine alone is slow and the
+     * rest idle.
      */
     private void press(long now) {
         pressedUntil = now + mostSoftLimit;
@@ -767,7 +726,8 @@
             if (!hop.mayHaveRun()) {
                 continue;
             }
-            if (s.track.terms.effect() == Effect.EFFECTFUL || !s.track.terms.circle().joins(hop.engine, engine)
+            if (s.track.terms.effect() == Effect.EFFECTFUL
+                    || !s.track.terms.circle().joins(hop.engine, engine)
                     || now + tick >= hop.sentAt + s.track.terms.window()) {
                 return false;
             }
@@ -784,8 +744,8 @@
     }
 
     private boolean budgetLeft(long now) {
-        return further == null || further.most(now) + 1 <= amount("guarantees.extra_floor", 0)
-                + amount("guarantees.further_ratio", 0) * taken.least(now);
+        return further == null || further.most(now) + 1 <= settings.amount("guarantees.extra_floor", 0)
+                + settings.amount("guarantees.further_ratio", 0) * taken.least(now);
     }
 
     /** The share of its capacity that an engine surely has; how it warms is not told, so slowly at first. */
@@ -794,20 +754,21 @@
             return 1;
         }
         double gone = Math.max(0, (double) (now - engine.startedAt) / warmWithin);
-        double start = amount("guarantees.start_capacity", 1);
+        double start = settings.amount("guarantees.start_capacity", 1);
         return start + (1 - start) * gone * gone;
     }
 
     /**
-     * Guards a cold engine: this gateway's part of what may be sent within the stated span. A gateway that has just
-     * started itself may have spent it before, and waits for the span to pass.
+     * Guards a cold engine: this gateway's part of what may be sent within the stated span. A gateway that
+     * has just started itself may have spent it before, and waits for the span to pass.
      */
     private boolean coldRoom(long now, Engine engine, double work) {
         double warmth = warmth(now, engine);
         if (warmth >= 1 || fallSpan <= 0) {
             return true;
         }
-        double most = amount("guarantees.fall_multiple", 1) * warmth * cores(engine) * fallSpan / gateways * COLD_USE;
+        double most = settings.amount("guarantees.fall_multiple", 1) * warmth * cores(engine) * fallSpan
+                / gateways * COLD_USE;
         return now >= startedAt + fallSpan && engine.workSent.most(now) + COLD_ROOM * work <= most;
     }
 
@@ -819,40 +780,34 @@
         long expected = (long) (nominal * best(s.track) * Math.max(1, engine.pace.at(now)));
         s.rank = rank(now, s);
         double memory = s.memoryEstimate * s.track.memoryBias.at(now) * GRANT_MARGIN;
-        if (flag("family_info.grants") && memory > 0) {
-            double most = amount("family_info.max_grant_share", 1) * nth("family_info.size_mb", engine.kind, 0);
+        if (settings.flag("family_info.grants") && memory > 0) {
+            double most = settings.amount("family_info.max_grant_share", 1)
+                    * settings.nth("family_info.size_mb", engine.kind, 0);
             s.grant = (long) Math.ceil(most > 0 ? Math.min(memory, most) : memory);
         }
         if (!s.hops.isEmpty() && further != null) {
             further.add(now, 1);
         }
-        Hop hop = new Hop(s, engine, now, expected, nominal, within(now, s, expected, trial), memory, trial);
+        Hop hop = new Hop(s, engine, now, expected, nominal, within(now, s, expected, trial), trial);
         s.hops.add(hop);
         s.hopsOut++;
-        engine.out.add(hop);
-        engine.outByTrack[s.trackIndex]++;
-        engine.threadsOut += s.track.terms.width();
-        engine.memoryOut += memory;
-        engine.trialsOut += trial ? 1 : 0;
+        engine.enter(hop, WARM_GROUPS);
         engine.workSent.add(now, work(now, s));
-        engine.groups.remove((Integer) s.tableGroup);
-        engine.groups.addLast(s.tableGroup);
-        if (engine.groups.size() > WARM_GROUPS) {
-            engine.groups.removeFirst();
-        }
         change(s);
-        wake(s, Math.min(s.leavesAt - 2 * tick, now + quietLimit(s, hop)));
+        alarms.set(s, Math.min(lastMoment(s), now + quietLimit(s, hop)));
     }
 
     /**
-     * Only a trial has a time-out of its own. Guards against work that runs on uncounted: where nothing can be called
-     * off, a hop that timed out would go on using its engine and look free. It may hurt on an engine just gone silent.
+     * Only a trial has a time-out of its own. Guards against work that runs on uncounted: where nothing can
+     * be called off, a hop that timed out would go on using its engine and look free. It may hurt on an
+     * engine just gone silent.
      */
     private long within(long now, Submission s, long expected, boolean trial) {
         if (!trial) {
             return 0;
         }
-        return Math.max(1, Math.min(s.leavesAt - now, Math.max((long) (QUIET * expected), softLimit(now, s) / 2)));
+        long wait = Math.max((long) (QUIET * expected), softLimit(now, s) / 2);
+        return Math.max(1, Math.min(s.leavesAt - now, wait));
     }
 
     private int rank(long now, Submission s) {
@@ -868,7 +823,7 @@
                 || (!engineFull && !anywhereAllowed(now, s))) {
             giveUp(now, s);
         } else {
-            hold(s, true);
+            hold(now, s, true);
         }
     }
 
@@ -887,7 +842,7 @@
         if (s.begun) {
             return;
         }
-        if (now >= Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick)) {
+        if (now >= tooLateAt(now, s)) {
             giveUp(now, s);
             return;
         }
@@ -898,7 +853,7 @@
             if (s.held && hopeless(now, s)) {
                 giveUp(now, s);
             } else if (s.wakeAt == Long.MAX_VALUE) {
-                wake(s, Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick));
+                alarms.set(s, tooLateAt(now, s));
             }
             return;
         }
@@ -911,14 +866,16 @@
             s.rank = 0;
             change(s);
         }
-        long look = hop.wantedOff ? leastSoftLimit : Math.max(quietLimit(s, hop) - Math.max(0, quiet), leastSoftLimit / 4);
-        wake(s, Math.min(Math.min(tooLateAt(now, s), s.leavesAt - 2 * tick), now + look));
+        long look = hop.wantedOff ? leastSoftLimit
+                : Math.max(quietLimit(s, hop) - Math.max(0, quiet), leastSoftLimit / 4);
+        alarms.set(s, Math.min(tooLateAt(now, s), now + look));
     }
 
     /** How long an engine may say nothing at all before a hop there is in doubt. */
     private long quietLimit(Submission s, Hop hop) {
         double limit = Math.max(QUIET * hop.expected, s.track.terms.softLimit() / 2.0);
-        return (long) (noteEvery > 0 ? Math.min(limit, Math.max(QUIET_NOTES * noteEvery, leastSoftLimit / 2.0)) : limit);
+        double notes = noteEvery > 0 ? Math.max(QUIET_NOTES * noteEvery, leastSoftLimit / 2.0) : limit;
+        return (long) Math.min(limit, notes);
     }
 
     private void suspect(long now, Hop hop) {
@@ -938,16 +895,18 @@
     }
 
     /**
-     * Guards against bad plans: a hop whose notes project far more than is usual there is called off and sent anew.
-     * It should also hold against a hop stuck alone on a sound engine; it may hurt where estimates are far too low.
+     * Guards against bad plans: a hop whose notes project far more than is usual there is called off and sent
+     * anew. It should also hold against a hop stuck alone on a sound engine; it may hurt where estimates are
+     * far too low.
      */
     private void judgeProgress(long now, Hop hop) {
         long age = now - hop.sentAt;
         double projected = age / Math.max(LEAST_SHARE, hop.share);
         double usual = hop.nominal * best(hop.submission.track) * Math.max(1, hop.engine.pace.at(now));
-        hop.engine.pace.add(now, Math.min(PACE_CAP, projected / hop.nominal / best(hop.submission.track)), 0.5);
+        double pace = projected / hop.nominal / best(hop.submission.track);
+        hop.engine.pace.add(now, Math.min(PACE_CAP, pace), 0.5);
         adjustBound(now, hop.engine);
-        if (projected > BAD_PLAN * usual && projected - age > FAR * usual && mayCallOff && hop.submission.ending == null
+        if (projected > BAD_PLAN * usual && projected - age > FAR * usual && hop.submission.ending == null
                 && mayHopOn(now, hop.submission)) {
             callOff(hop);
         }
@@ -955,7 +914,7 @@
 
     // ---- measures ----
 
-    private void judge(long now, Hop hop, Outcome outcome, long lag) {
+    private void judge(long now, Hop hop, Outcome outcome) {
         Engine engine = hop.engine;
         switch (outcome) {
             case FULFILLED -> {
@@ -1006,10 +965,8 @@
             double mean = track.pace.at(now);
             track.bestPace = track.bestPace == 0 ? mean : Math.min(track.bestPace, mean);
         }
-        if (hop.engine.outByTrack.length > 0) {
-            hop.engine.pace.add(now, Math.min(PACE_CAP, pace / best(track)), 1);
-            adjustBound(now, hop.engine);
-        }
+        hop.engine.pace.add(now, Math.min(PACE_CAP, pace / best(track)), 1);
+        adjustBound(now, hop.engine);
     }
 
     private void read(long now, Engine engine, double[] report) {
@@ -1037,23 +994,9 @@
         return failed > DOUBT_LEAST && failed > DOUBT_RATIO * engine.successes.at(now);
     }
 
-    /** Drawn from the posterior of the engine's chance of success: a beta, as the quotient of two gammas. */
+    /** Drawn from the posterior of the engine's chance of success. */
     private double drawChance(long now, Engine engine) {
-        double good = drawGamma(1 + engine.successes.at(now));
-        return good / (good + drawGamma(1 + Math.max(0, engine.failures.at(now))));
-    }
-
-    /** Marsaglia and Tsang's method for a shape of one or more. */
-    private double drawGamma(double shape) {
-        double d = shape - 1.0 / 3;
-        double c = 1 / Math.sqrt(9 * d);
-        while (true) {
-            double x = random.nextGaussian();
-            double v = Math.pow(1 + c * x, 3);
-            if (v > 0 && Math.log(1 - random.nextDouble()) < x * x / 2 + d - d * v + d * Math.log(v)) {
-                return d * v;
-            }
-        }
+        return Beta.draw(random, 1 + engine.successes.at(now), 1 + Math.max(0, engine.failures.at(now)));
     }
 
     /** Where probes are allowed, a doubtful engine with no trial out gets one now and then. */
@@ -1085,49 +1028,22 @@
     }
 
     private static long softLimit(long now, Submission s) {
-        return s.track.terms.softLimit() + (long) (s.track.terms.stretch() * work(now, s) / s.track.terms.width());
+        TrackTerms terms = s.track.terms;
+        return terms.softLimit() + (long) (terms.stretch() * work(now, s) / terms.width());
     }
 
     private static long softEnd(long now, Submission s) {
         return Math.min(s.leavesAt, s.arrivedAt + softLimit(now, s));
     }
 
-    /** From here on an answer pays nothing. */
-    private long tooLateAt(long now, Submission s) {
-        return s.track.terms.latePayoff() > 0 ? s.leavesAt - 2 * tick
-                : Math.min(s.leavesAt - 2 * tick, (long) (s.arrivedAt + softLimit(now, s) * LATE_MARGIN));
-    }
-
-    // ---- settings ----
-
-    private long number(String name, long otherwise) {
-        return settings.get(name) instanceof Number number ? number.longValue() : otherwise;
+    /** The last moment at which a final answer is surely in time. */
+    private long lastMoment(Submission s) {
+        return s.leavesAt - 2 * tick;
     }
 
-    private double amount(String name, double otherwise) {
-        return settings.get(name) instanceof Number number ? number.doubleValue() : otherwise;
-    }
-
-    private boolean flag(String name) {
-        return Boolean.TRUE.equals(settings.get(name));
-    }
-
-    private List<?> list(String name) {
-        return settings.get(name) instanceof List<?> list ? list : List.of();
-    }
-
-    private double nth(String name, int place, double otherwise) {
-        List<?> list = list(name);
-        return place < list.size() && list.get(place) instanceof Number number ? number.doubleValue() : otherwise;
-    }
-
-    private boolean nthFlag(String name, int place) {
-        List<?> list = list(name);
-        return place < list.size() && Boolean.TRUE.equals(list.get(place));
-    }
-
-    private List<Integer> bound(String name) {
-        return settings.containsKey(name)
-                ? list(name).stream().filter(Number.class::isInstance).map(n -> ((Number) n).intValue()).toList() : null;
+    /** From here on an answer pays nothing. */
+    private long tooLateAt(long now, Submission s) {
+        return s.track.terms.latePayoff() > 0 ? lastMoment(s)
+                : Math.min(lastMoment(s), (long) (s.arrivedAt + softLimit(now, s) * LATE_MARGIN));
     }
 }
--- a/src/main/java/tillerlink/model/Engine.java
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -22,7 +22,6 @@
     public final List<Hop> out = new ArrayList<>();
     public int[] outByTrack = new int[0];
     public int threadsOut;
-    public double memoryOut;
     public int trialsOut;
     /** Table groups sent here lately, latest last. */
     public final ArrayDeque<Integer> groups = new ArrayDeque<>();
@@ -44,4 +43,26 @@
     public Engine(Object tag) {
         this.tag = tag;
     }
+
+    /** Counts a hop that goes out here; of the table groups, only the latest are remembered. */
+    public void enter(Hop hop, int groupsKept) {
+        count(hop, 1);
+        out.add(hop);
+        groups.remove((Integer) hop.submission.tableGroup);
+        groups.addLast(hop.submission.tableGroup);
+        if (groups.size() > groupsKept) {
+            groups.removeFirst();
+        }
+    }
+
+    public void leave(Hop hop) {
+        count(hop, -1);
+        out.remove(hop);
+    }
+
+    private void count(Hop hop, int by) {
+        outByTrack[hop.submission.trackIndex] += by;
+        threadsOut += by * hop.submission.track.terms.width();
+        trialsOut += hop.trial ? by : 0;
+    }
 }
--- a/src/main/java/tillerlink/model/Hop.java
+++ b/src/main/java/tillerlink/model/Hop.java
@@ -12,20 +12,19 @@
     public final double nominal;
     /** Time-out; 0 means until the client gives up. */
     public final long within;
-    public final double memory;
     /** Sent to learn whether a doubtful engine is back. */
     public final boolean trial;
 
     public boolean sent;
     public boolean wantedOff;
     public boolean calledOff;
+    /** Share done, as last noted. */
     public double share;
-    public long notedAt = Long.MIN_VALUE;
     /** Null while it is out. */
     public Outcome outcome;
 
     public Hop(Submission submission, Engine engine, long sentAt, long expected, double nominal, long within,
-               double memory, boolean trial) {
+               boolean trial) {
         this.submission = submission;
         this.engine = engine;
         this.number = submission.hops.size();
@@ -33,7 +32,6 @@
         this.expected = expected;
         this.nominal = nominal;
         this.within = within;
-        this.memory = memory;
         this.trial = trial;
     }
 
--- a/src/main/java/tillerlink/model/SlidingSum.java
+++ b/src/main/java/tillerlink/model/SlidingSum.java
@@ -1,6 +1,8 @@
 package tillerlink.model;
 
-/** A sum over a sliding span, kept in slices: never off by more than the oldest slice, on the side asked for. */
+/**
+ * A sum over a sliding span, kept in slices: never off by more than the oldest slice, on the side asked for.
+ */
 public final class SlidingSum {
     private final long slice;
     private final double[] amounts;
--- a/src/main/java/tillerlink/port/Orders.java
+++ b/src/main/java/tillerlink/port/Orders.java
@@ -6,7 +6,10 @@
 
 /** What the module wants done. Times are tenths of a millisecond, grants megabytes. */
 public interface Orders {
-    /** Priority (at once, also for hops that are out) and memory grant (from the next hop on; 0: the engine's own). */
+    /**
+     * Priority (at once, also for hops that are out) and memory grant (from the next hop on; 0: the engine's
+     * own).
+     */
     void terms(Submission submission, int rank, long grant);
 
     /** @param within time-out; 0 means until the client gives up */
--- a/src/main/java/tillerlink/port/Steering.java
+++ b/src/main/java/tillerlink/port/Steering.java
@@ -10,8 +10,9 @@
 
 /**
  * What happens to one gateway, told to the module in the order in which it happened. Times are tenths of a
- * millisecond. After the last of the events of one moment, {@link #settle} is called once; only then does the module
- * give {@link Orders}. A report is a row of numbers in the order of the setting {@code report.fields}, or null.
+ * millisecond. After the last of the events of one moment, {@link #settle} is called once; only then does the
+ * module give {@link Orders}. A report is a row of numbers in the order of the setting {@code report.fields},
+ * or null.
  */
 public interface Steering {
     /** The list of engines changed; {@code whole} means that engines not in it are gone. */
--- a/src/main/java/tillerlink/port/SteeringFactory.java
+++ b/src/main/java/tillerlink/port/SteeringFactory.java
@@ -6,8 +6,8 @@
 @FunctionalInterface
 public interface SteeringFactory {
     /**
-     * @param settings plain names to values: numbers, booleans, texts and lists of them; parts of an object or of a
-     *                 list of objects stand under dotted names; times are tenths of a millisecond
+     * @param settings plain names to values: numbers, booleans, texts and lists of them; parts of an object
+     * or of a list of objects stand under dotted names; times are tenths of a millisecond
      */
     Steering start(long now, long seed, Map<String, Object> settings, Orders orders);
 }
--- a/src/main/java/tillerlink/wirehost/PlainNames.java
+++ b/src/main/java/tillerlink/wirehost/PlainNames.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 
 /**
- * The settings as a plain map: parts of an object stand under dotted names ({@code caps.max_attempts}), objects in a
- * list under their place ({@code profiles.0.worth}), with the list's length under its own name. A name that ends in
- * {@code _us} loses that ending, and its value becomes tenths of a millisecond.
+ * The settings as a plain map: parts of an object stand under dotted names ({@code caps.max_attempts}),
+ * objects in a list under their place ({@code profiles.0.worth}), with the list's length under its own name.
+ * A name that ends in {@code _us} loses that ending, and its value becomes tenths of a millisecond.
  */
 final class PlainNames {
     private static final String MICROS_ENDING = "_us";
--- a/src/main/java/tillerlink/wirehost/Row.java
+++ b/src/main/java/tillerlink/wirehost/Row.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import tillerlink.model.Engine;
 
-/** One entry of a numbered list; it belongs to the process, so it holds an id and no object of any gateway. */
+/**
+ * One entry of a numbered list; it belongs to the process, so it holds an id and no object of any gateway.
+ */
 record Row(int kind, long startedAt, int zone, Engine.Standing standing, int cell, double weight, String engine) {
     static Row of(Object raw) {
         if (!(raw instanceof List<?> values)) {
--- a/src/main/java/tillerlink/wirehost/WireHost.java
+++ b/src/main/java/tillerlink/wirehost/WireHost.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.io.SerializedString;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -20,7 +21,10 @@
 import java.util.Set;
 import tillerlink.port.SteeringFactory;
 
-/** Hosts many gateways on the simulator's wire: a line of events in, a line of actions out. They share nothing. */
+/**
+ * Hosts many gateways on the simulator's wire: a line of events in, a line of actions out. They share
+ * nothing.
+ */
 public final class WireHost {
     private final SteeringFactory steerings;
     private final JsonFactory factory = new JsonFactory();
@@ -32,7 +36,7 @@
 
     public WireHost(SteeringFactory steerings) throws IOException {
         this.steerings = steerings;
-        actions = factory.createGenerator(reply).setRootValueSeparator(new com.fasterxml.jackson.core.io.SerializedString(""));
+        actions = factory.createGenerator(reply).setRootValueSeparator(new SerializedString(""));
     }
 
     /** Answers batches until the input ends. */
