--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -1,6 +1,7 @@
 package tillerlink;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -227,9 +228,8 @@
             alarms.set(s, tooLateAt(now, s));
             advance(now, s.line);
         } else {
-            hold(now, s, false);
+            hold(s, false);
         }
-        fresh.add(s);
     }
 
     @Override
@@ -374,27 +374,27 @@
 
     // ---- queues ----
 
-    private void hold(long now, Submission s, boolean first) {
+    private void hold(Submission s, boolean first) {
         s.held = true;
         if (first) {
             s.track.queue.addFirst(s);
         } else {
             s.track.queue.addLast(s);
         }
-        alarms.set(s, Math.max(now + 1, Math.min(softEnd(now, s) - usual(now, s) + 1, lastMoment(s))));
+        fresh.add(s);
     }
 
     /**
      * Sends what may go: of the queues' heads, the one that has used most of its time, as long as any fits.
      */
     private void pump(long now) {
-        int blocked = 0;
+        BitSet blocked = new BitSet(tracks.size());
         while (true) {
             Track next = null;
             double most = -1;
             for (Track track : tracks) {
                 Submission head = head(track);
-                if (head != null && (blocked & 1 << track.index) == 0) {
+                if (head != null && !blocked.get(track.index)) {
                     double used = (double) (now - head.arrivedAt) / softLimit(now, head);
                     if (used > most) {
                         most = used;
@@ -412,7 +412,7 @@
             }
             Engine engine = choose(now, s);
             if (engine == null) {
-                blocked |= 1 << next.index;
+                blocked.set(next.index);
             } else {
                 next.queue.pollFirst();
                 s.held = false;
@@ -442,12 +442,14 @@
      * one long wait at the head stands for no queue behind it.
      */
     private void shed(long now) {
-        for (Submission s : fresh) {
+        for (int i = 0; i < fresh.size(); i++) {
+            Submission s = fresh.get(i);
             if (!s.held || s.ending != null) {
                 continue;
             }
+            alarms.set(s, Math.max(now + 1, Math.min(softEnd(now, s) - usual(now, s) + 1, lastMoment(s))));
             Submission head = head(s.track);
-            if (head == null || head == s) {
+            if (head == s || !s.hops.isEmpty()) {
                 continue;
             }
             double most = Math.max(1, softLimit(now, head) - usual(now, head));
@@ -491,7 +493,7 @@
             return;
         }
         if (now >= line.restsUntil) {
-            hold(now, head, false);
+            hold(head, false);
         } else if (line.restsUntil < head.wakeAt) {
             alarms.set(head, line.restsUntil);
         }
@@ -608,17 +610,17 @@
     }
 
     private double classCount(long now, Submission s, Engine engine, double cores) {
-        double reported = fresh(now, engine) ? engine.reportedQueries / cores(engine) : 0;
+        double reported = recent(now, engine) ? engine.reportedQueries / cores(engine) : 0;
         return engine.outByTrack[s.trackIndex] / cores + reported;
     }
 
     /** Threads of all classes a core, with what the engine last said of its cores and disks. */
     private double load(long now, Engine engine, double fleetPace) {
         return engine.threadsOut / effectiveCores(now, engine, fleetPace)
-                + (fresh(now, engine) ? engine.reportedBusy : 0);
+                + (recent(now, engine) ? engine.reportedBusy : 0);
     }
 
-    private boolean fresh(long now, Engine engine) {
+    private boolean recent(long now, Engine engine) {
         return now - engine.reportedAt < mostSoftLimit;
     }
 
@@ -823,7 +825,7 @@
                 || (!engineFull && !anywhereAllowed(now, s))) {
             giveUp(now, s);
         } else {
-            hold(now, s, true);
+            hold(s, true);
         }
     }
 
