--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -28,6 +28,8 @@
     private static final double BUSY = 0.95;
     /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
     private static final double BOUND_START = 1.5;
+    /** Share of the engines under pressure from which all are bounded. */
+    private static final double CROWD = 0.25;
     private static final double BOUND_LEAST = 0.4;
     private static final double BOUND_CUT = 0.85;
     private static final double BOUND_GROW = 0.08;
@@ -78,7 +80,6 @@
     private final List<Submission> fresh = new ArrayList<>();
     private final List<Engine> probesWanted = new ArrayList<>();
     private final Alarms alarms = new Alarms();
-    private long pressedUntil = Long.MIN_VALUE;
     private long armedFor = Long.MAX_VALUE;
     private boolean followWanted;
     private long followAgainAt = Long.MAX_VALUE;
@@ -205,6 +206,7 @@
         engine.pace.clear();
         engine.groups.clear();
         engine.boundFactor = BOUND_START;
+        engine.pressedUntil = Long.MIN_VALUE;
     }
 
     @Override
@@ -511,6 +513,7 @@
     private Engine choose(long now, Submission s) {
         candidates.clear();
         boolean sound = false;
+        boolean crowded = crowded(now);
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
@@ -526,7 +529,7 @@
                 continue;
             }
             sound = true;
-            if (!bounded(now, engine)) {
+            if (!bounded(now, engine, crowded)) {
                 candidates.add(engine);
             }
         }
@@ -671,32 +674,44 @@
         return ages > FAR * engine.out.size();
     }
 
-    private boolean bounded(long now, Engine engine) {
-        if (stalled(now, engine)) {
-            press(now);
-            cutBound(now, engine);
+    private boolean bounded(long now, Engine engine, boolean crowded) {
+        return (crowded || now < engine.pressedUntil) && engine.threadsOut > 0
+                && engine.threadsOut >= bound(engine);
+    }
+
+    /**
+     * Pressure at a quarter of the engines bounds all. Guards against a chain of falls: what the bounded engines may
+     * not have would all go to the next one that shows nothing yet. It may hurt while a few are slow and the rest idle.
+     */
+    private boolean crowded(long now) {
+        int ready = 0;
+        int pressed = 0;
+        for (Engine engine : engines) {
+            if (engine.standing == Engine.Standing.READY) {
+                if (stalled(now, engine)) {
+                    press(now, engine);
+                    cutBound(now, engine);
+                }
+                ready++;
+                pressed += now < engine.pressedUntil ? 1 : 0;
+            }
         }
-        return now < pressedUntil && engine.threadsOut > 0 && engine.threadsOut >= bound(engine);
+        return pressed >= CROWD * ready;
     }
 
     private double bound(Engine engine) {
         return cores(engine) / gateways * engine.boundFactor;
     }
 
-    /**
-     * Pressure at one engine bounds all. Guards against a chain of falls: what a bounded engine may not have
-     * would all go to the next one that shows nothing yet. It may hurt while one engine alone is slow and the
-     * rest idle.
-     */
-    private void press(long now) {
-        pressedUntil = now + mostSoftLimit;
+    private void press(long now, Engine engine) {
+        engine.pressedUntil = now + mostSoftLimit;
     }
 
     /** The bound's figure falls while the pace is far above the best seen and grows again while it is not. */
     private void adjustBound(long now, Engine engine) {
         double pace = engine.pace.at(now);
         if (pace > FAR) {
-            press(now);
+            press(now, engine);
             cutBound(now, engine);
         } else if (pace < EASY && engine.threadsOut + 1 >= bound(engine)) {
             engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
@@ -926,7 +941,7 @@
             case FULL -> {
                 engine.heardAt = now;
                 engine.failures.add(now, 1);
-                press(now);
+                press(now, engine);
                 cutBound(now, engine);
             }
             case ERRED -> {
@@ -987,7 +1002,7 @@
             }
         }
         if (engine.reportedBusy >= BUSY) {
-            press(now);
+            press(now, engine);
         }
     }
 
--- a/src/main/java/tillerlink/model/Engine.java
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -31,6 +31,7 @@
     public DecayingMean pace;
     public SlidingSum workSent;
     public double boundFactor;
+    public long pressedUntil = Long.MIN_VALUE;
     public long boundCutAt = Long.MIN_VALUE;
     public long heardAt = Long.MIN_VALUE;
     public long reportedAt = Long.MIN_VALUE;
