--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -22,6 +22,8 @@
     // Pressure and the thread bound (design, section "ordinary path", point 4).
     /** A pace this many times the best seen is far above it. */
     private static final double FAR = 2.0;
+    /** The same for the mean age of what is out; nearer to the cap, since hops that were underrated stay out longest. */
+    private static final double STALL = 2.6;
     /** Below this many times the best, the bound may grow again. */
     private static final double EASY = 1.6;
     /** A reported share of cores or disks from here on is a busy report. */
@@ -671,7 +673,7 @@
             double usual = Math.max(1, hop.nominal * best(hop.submission.track));
             ages += Math.min(PACE_CAP, (now - hop.sentAt) / usual);
         }
-        return ages > FAR * engine.out.size();
+        return ages > STALL * engine.out.size();
     }
 
     private boolean bounded(long now, Engine engine, boolean crowded) {
