--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -516,6 +516,7 @@
         candidates.clear();
         boolean sound = false;
         boolean crowded = crowded(now);
+        boolean spent = crowded && spent();
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
@@ -531,7 +532,7 @@
                 continue;
             }
             sound = true;
-            if (!bounded(now, engine, crowded)) {
+            if (!bounded(now, engine, crowded, spent)) {
                 candidates.add(engine);
             }
         }
@@ -676,9 +677,26 @@
         return ages > STALL * engine.out.size();
     }
 
-    private boolean bounded(long now, Engine engine, boolean crowded) {
-        return (crowded || now < engine.pressedUntil) && engine.threadsOut > 0
-                && engine.threadsOut >= bound(engine);
+    private boolean bounded(long now, Engine engine, boolean crowded, boolean spent) {
+        return (crowded || now < engine.pressedUntil) && (engine.threadsOut >= bound(engine) || spent);
+    }
+
+    /**
+     * Whether what is out reaches the bounds of all engines taken together. Guards against a jam held up by the one
+     * query that may fly below the bound: each gateway's one on each engine can be more than the engines bear. One
+     * may still fly from a gateway that has nothing out. It should hold against any shortage that outlasts the
+     * bounds' fall; it may hurt a gateway with little traffic beside many busy ones.
+     */
+    private boolean spent() {
+        double bounds = 0;
+        int threads = 0;
+        for (Engine engine : engines) {
+            if (engine.standing == Engine.Standing.READY) {
+                bounds += bound(engine);
+                threads += engine.threadsOut;
+            }
+        }
+        return threads > 0 && threads >= bounds;
     }
 
     /**
