--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -682,7 +682,7 @@
     }
 
     /**
-     * Whether what is out reaches the bounds of all engines taken together. Guards against a jam held up by the one
+     * Whether what is out is far above the bounds of all engines taken together. Guards against a jam held up by the one
      * query that may fly below the bound: each gateway's one on each engine can be more than the engines bear. One
      * may still fly from a gateway that has nothing out. It should hold against any shortage that outlasts the
      * bounds' fall; it may hurt a gateway with little traffic beside many busy ones.
@@ -696,7 +696,7 @@
                 threads += engine.threadsOut;
             }
         }
-        return threads > 0 && threads >= bounds;
+        return threads > 0 && threads >= FAR * bounds;
     }
 
     /**
@@ -733,11 +733,20 @@
         if (pace > FAR) {
             press(now, engine);
             cutBound(now, engine);
-        } else if (pace < EASY && engine.threadsOut + 1 >= bound(engine)) {
+        } else if (pace < EASY && (engine.threadsOut + 1 >= bound(engine) || waiting())) {
             engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
         }
     }
 
+    private boolean waiting() {
+        for (Track track : tracks) {
+            if (head(track) != null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void cutBound(long now, Engine engine) {
         if (now >= engine.boundCutAt) {
             double used = engine.threadsOut / (cores(engine) / gateways);
