--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -196,6 +196,7 @@
         engine.outByTrack = new int[tracks.size()];
         engine.successes = new DecayingSum(mostSoftLimit * 4.0);
         engine.failures = new DecayingSum(mostSoftLimit * 4.0);
+        engine.threadsLost = new DecayingSum(mostSoftLimit * 4.0);
         engine.pace = new DecayingMean(mostSoftLimit, 1, 2);
         engine.workSent = new SlidingSum(Math.max(1, fallSpan), SLICES);
         engine.boundFactor = BOUND_START;
@@ -205,6 +206,7 @@
     private void forget(Engine engine) {
         engine.successes.clear();
         engine.failures.clear();
+        engine.threadsLost.clear();
         engine.pace.clear();
         engine.groups.clear();
         engine.boundFactor = BOUND_START;
@@ -516,7 +518,7 @@
         candidates.clear();
         boolean sound = false;
         boolean crowded = crowded(now);
-        boolean spent = crowded && spent();
+        boolean spent = crowded && spent(now);
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
@@ -678,7 +680,7 @@
     }
 
     private boolean bounded(long now, Engine engine, boolean crowded, boolean spent) {
-        return (crowded || now < engine.pressedUntil) && (engine.threadsOut >= bound(engine) || spent);
+        return (crowded || now < engine.pressedUntil) && (threads(now, engine) >= bound(engine) || spent);
     }
 
     /**
@@ -687,13 +689,13 @@
      * may still fly from a gateway that has nothing out. It should hold against any shortage that outlasts the
      * bounds' fall; it may hurt a gateway with little traffic beside many busy ones.
      */
-    private boolean spent() {
+    private boolean spent(long now) {
         double bounds = 0;
-        int threads = 0;
+        double threads = 0;
         for (Engine engine : engines) {
             if (engine.standing == Engine.Standing.READY) {
                 bounds += bound(engine);
-                threads += engine.threadsOut;
+                threads += threads(now, engine);
             }
         }
         return threads > 0 && threads >= FAR * bounds;
@@ -719,6 +721,14 @@
         return pressed >= CROWD * ready;
     }
 
+    /**
+     * Threads out, and those of hops that timed out where nothing can be called off. Guards against work that runs on
+     * unseen and keeps a jam alive. It may hurt after a cut, when what timed out never came to run.
+     */
+    private double threads(long now, Engine engine) {
+        return engine.threadsOut + engine.threadsLost.at(now);
+    }
+
     private double bound(Engine engine) {
         return cores(engine) / gateways * engine.boundFactor;
     }
@@ -979,6 +989,9 @@
             }
             case UNREACHABLE, SEVERED -> engine.failures.add(now, SILENCE_WEIGHT);
             case OVERDUE -> {
+                if (!mayCallOff) {
+                    engine.threadsLost.add(now, hop.submission.track.terms.width());
+                }
                 if (engine.heardAt < hop.sentAt) {
                     engine.failures.add(now, 1);
                 }
--- a/src/main/java/tillerlink/model/Engine.java
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -28,6 +28,8 @@
 
     public DecayingSum successes;
     public DecayingSum failures;
+    /** Threads of hops that timed out and may run on. */
+    public DecayingSum threadsLost;
     public DecayingMean pace;
     public SlidingSum workSent;
     public double boundFactor;
