--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -1083,7 +1083,8 @@
 
     /** Time that a hop sent now is expected to take on an ordinary engine. */
     private long usual(long now, Submission s) {
-        return (long) (work(now, s) / s.track.terms.width() * best(s.track) * Math.max(1, fleetPace(now)));
+        double pace = Math.max(s.track.pace.at(now), best(s.track) * Math.max(1, fleetPace(now)));
+        return (long) (work(now, s) / s.track.terms.width() * pace);
     }
 
     private static long softLimit(long now, Submission s) {
