--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -211,6 +211,7 @@
         engine.groups.clear();
         engine.boundFactor = BOUND_START;
         engine.pressedUntil = Long.MIN_VALUE;
+        engine.fellAt = Long.MIN_VALUE;
     }
 
     @Override
@@ -806,10 +807,11 @@
 
     /** The share of its capacity that an engine surely has; how it warms is not told, so slowly at first. */
     private double warmth(long now, Engine engine) {
-        if (engine.startedAt <= 0 || now - engine.startedAt >= warmWithin) {
+        long started = Math.max(engine.startedAt, engine.fellAt);
+        if (started <= 0 || now - started >= warmWithin) {
             return 1;
         }
-        double gone = Math.max(0, (double) (now - engine.startedAt) / warmWithin);
+        double gone = Math.max(0, (double) (now - started) / warmWithin);
         double start = settings.amount("guarantees.start_capacity", 1);
         return start + (1 - start) * gone * gone;
     }
@@ -987,7 +989,13 @@
                 engine.heardAt = now;
                 engine.failures.add(now, 1);
             }
-            case UNREACHABLE, SEVERED -> engine.failures.add(now, SILENCE_WEIGHT);
+            case UNREACHABLE -> engine.failures.add(now, SILENCE_WEIGHT);
+            // Guards against a restart that the list tells late: a process that dropped its connections comes back
+            // cold. It should hold for any crash; it may hurt where the network alone dropped them.
+            case SEVERED -> {
+                engine.failures.add(now, SILENCE_WEIGHT);
+                engine.fellAt = now;
+            }
             case OVERDUE -> {
                 if (!mayCallOff) {
                     engine.threadsLost.add(now, hop.submission.track.terms.width());
