--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -29,7 +29,7 @@
     /** A reported share of cores or disks from here on is a busy report. */
     private static final double BUSY = 0.95;
     /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
-    private static final double BOUND_START = 1.5;
+    private static final double BOUND_START = 1;
     /** Share of the engines under pressure from which all are bounded. */
     private static final double CROWD = 0.25;
     private static final double BOUND_LEAST = 0.4;
@@ -519,7 +519,7 @@
         candidates.clear();
         boolean sound = false;
         boolean crowded = crowded(now);
-        boolean spent = crowded && spent(now);
+        boolean spent = crowded && spent(now, s.track);
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
@@ -535,7 +535,7 @@
                 continue;
             }
             sound = true;
-            if (!bounded(now, engine, crowded, spent)) {
+            if (!bounded(now, engine, s.track, crowded, spent)) {
                 candidates.add(engine);
             }
         }
@@ -680,8 +680,8 @@
         return ages > STALL * engine.out.size();
     }
 
-    private boolean bounded(long now, Engine engine, boolean crowded, boolean spent) {
-        return (crowded || now < engine.pressedUntil) && (threads(now, engine) >= bound(engine) || spent);
+    private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
+        return (crowded || now < engine.pressedUntil) && (threads(now, engine, track) >= bound(engine) || spent);
     }
 
     /**
@@ -690,13 +690,13 @@
      * may still fly from a gateway that has nothing out. It should hold against any shortage that outlasts the
      * bounds' fall; it may hurt a gateway with little traffic beside many busy ones.
      */
-    private boolean spent(long now) {
+    private boolean spent(long now, Track track) {
         double bounds = 0;
         double threads = 0;
         for (Engine engine : engines) {
             if (engine.standing == Engine.Standing.READY) {
                 bounds += bound(engine);
-                threads += threads(now, engine);
+                threads += threads(now, engine, track);
             }
         }
         return threads > 0 && threads >= FAR * bounds;
@@ -726,8 +726,8 @@
      * Threads out, and those of hops that timed out where nothing can be called off. Guards against work that runs on
      * unseen and keeps a jam alive. It may hurt after a cut, when what timed out never came to run.
      */
-    private double threads(long now, Engine engine) {
-        return engine.threadsOut + engine.threadsLost.at(now);
+    private double threads(long now, Engine engine, Track track) {
+        return engine.outByTrack[track.index] * track.terms.width() + engine.threadsLost.at(now);
     }
 
     private double bound(Engine engine) {
