--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -29,11 +29,11 @@
     /** A reported share of cores or disks from here on is a busy report. */
     private static final double BUSY = 0.95;
     /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
-    private static final double BOUND_START = 1;
+    private static final double BOUND_START = 0.7;
     /** Share of the engines under pressure from which all are bounded. */
     private static final double CROWD = 0.25;
-    private static final double BOUND_LEAST = 0.4;
-    private static final double BOUND_CUT = 0.85;
+    private static final double BOUND_LEAST = 0.2;
+    private static final double BOUND_CUT = 0.75;
     private static final double BOUND_GROW = 0.08;
     // Measures.
     /** Hops a pace needs before it can be the best seen. */
