--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -744,11 +744,20 @@
         if (pace > FAR) {
             press(now, engine);
             cutBound(now, engine);
-        } else if (pace < EASY && (engine.threadsOut + 1 >= bound(engine) || waiting())) {
+        } else if (pace < EASY && (widest(engine) + 1 >= bound(engine) || waiting())) {
             engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
         }
     }
 
+    /** The threads out of the class that has most out. */
+    private int widest(Engine engine) {
+        int most = 0;
+        for (Track track : tracks) {
+            most = Math.max(most, engine.outByTrack[track.index] * track.terms.width());
+        }
+        return most;
+    }
+
     private boolean waiting() {
         for (Track track : tracks) {
             if (head(track) != null) {
@@ -760,7 +769,7 @@
 
     private void cutBound(long now, Engine engine) {
         if (now >= engine.boundCutAt) {
-            double used = engine.threadsOut / (cores(engine) / gateways);
+            double used = widest(engine) / (cores(engine) / gateways);
             double from = Math.min(engine.boundFactor, Math.max(used, BOUND_START));
             engine.boundFactor = Math.max(BOUND_LEAST, from * BOUND_CUT);
             engine.boundCutAt = now + leastSoftLimit;
