--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -29,11 +29,13 @@
     /** A reported share of cores or disks from here on is a busy report. */
     private static final double BUSY = 0.95;
     /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
-    private static final double BOUND_START = 0.7;
+    private static final double BOUND_START = 1;
     /** Share of the engines under pressure from which all are bounded. */
     private static final double CROWD = 0.25;
-    private static final double BOUND_LEAST = 0.2;
-    private static final double BOUND_CUT = 0.75;
+    /** What all classes together may have out, in bounds of one: they share the cores. */
+    private static final double ALL_CLASSES = 1.5;
+    private static final double BOUND_LEAST = 0.27;
+    private static final double BOUND_CUT = 0.85;
     private static final double BOUND_GROW = 0.08;
     // Measures.
     /** Hops a pace needs before it can be the best seen. */
@@ -681,7 +683,8 @@
     }
 
     private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
-        return (crowded || now < engine.pressedUntil) && (threads(now, engine, track) >= bound(engine) || spent);
+        return (crowded || now < engine.pressedUntil) && (threads(now, engine, track) >= bound(engine) || spent
+                || engine.threadsOut + engine.threadsLost.at(now) >= ALL_CLASSES * bound(engine));
     }
 
     /**
@@ -755,7 +758,7 @@
         for (Track track : tracks) {
             most = Math.max(most, engine.outByTrack[track.index] * track.terms.width());
         }
-        return most;
+        return Math.max(most, (int) (engine.threadsOut / ALL_CLASSES));
     }
 
     private boolean waiting() {
