--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -521,7 +521,7 @@
         candidates.clear();
         boolean sound = false;
         boolean crowded = crowded(now);
-        boolean spent = crowded && spent(now, s.track);
+        boolean spent = crowded && spent(now);
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
@@ -683,8 +683,8 @@
     }
 
     private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
-        return (crowded || now < engine.pressedUntil) && (threads(now, engine, track) >= bound(engine) || spent
-                || engine.threadsOut + engine.threadsLost.at(now) >= ALL_CLASSES * bound(engine));
+        return (crowded || now < engine.pressedUntil) && (spent || engine.outByTrack[track.index] * track.terms.width() >= bound(engine)
+                || threads(now, engine) >= ALL_CLASSES * bound(engine));
     }
 
     /**
@@ -693,16 +693,16 @@
      * may still fly from a gateway that has nothing out. It should hold against any shortage that outlasts the
      * bounds' fall; it may hurt a gateway with little traffic beside many busy ones.
      */
-    private boolean spent(long now, Track track) {
+    private boolean spent(long now) {
         double bounds = 0;
         double threads = 0;
         for (Engine engine : engines) {
             if (engine.standing == Engine.Standing.READY) {
                 bounds += bound(engine);
-                threads += threads(now, engine, track);
+                threads += threads(now, engine);
             }
         }
-        return threads > 0 && threads >= FAR * bounds;
+        return threads > 0 && threads >= FAR * ALL_CLASSES * bounds;
     }
 
     /**
@@ -729,8 +729,8 @@
      * Threads out, and those of hops that timed out where nothing can be called off. Guards against work that runs on
      * unseen and keeps a jam alive. It may hurt after a cut, when what timed out never came to run.
      */
-    private double threads(long now, Engine engine, Track track) {
-        return engine.outByTrack[track.index] * track.terms.width() + engine.threadsLost.at(now);
+    private double threads(long now, Engine engine) {
+        return engine.threadsOut + engine.threadsLost.at(now);
     }
 
     private double bound(Engine engine) {
