--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -36,7 +36,7 @@
     private static final double ALL_CLASSES = 1.5;
     private static final double BOUND_LEAST = 0.27;
     private static final double BOUND_CUT = 0.85;
-    private static final double BOUND_GROW = 0.08;
+    private static final double BOUND_GROW = 0.05;
     // Measures.
     /** Hops a pace needs before it can be the best seen. */
     private static final double ENOUGH = 6;
@@ -748,7 +748,7 @@
             press(now, engine);
             cutBound(now, engine);
         } else if (pace < EASY && (widest(engine) + 1 >= bound(engine) || waiting())) {
-            engine.boundFactor = Math.min(gateways * FAR, engine.boundFactor + BOUND_GROW);
+            engine.boundFactor = Math.min(gateways * FAR / ALL_CLASSES, engine.boundFactor + BOUND_GROW);
         }
     }
 
