--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
 import tillerlink.model.*;
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
@@ -20,12 +21,13 @@
  */
 public final class Policy implements Steering {
     // Pressure and the thread bound (design, section "ordinary path", point 4).
-    /** A pace this many times the best seen is far above it. */
-    private static final double FAR = 2.0;
-    /** The same for the mean age of what is out; nearer to the cap, since hops that were underrated stay out longest. */
+    private static final double FAR = 2.0; // a pace this many times the best seen is far above it
+    /**
+     * The same for the mean age of what is out; nearer to the cap, since hops that were underrated stay out
+     * longest.
+     */
     private static final double STALL = 2.6;
-    /** Below this many times the best, the bound may grow again. */
-    private static final double EASY = 1.6;
+    private static final double EASY = 1.6; // below this many times the best, the bound may grow again
     /** A reported share of cores or disks from here on is a busy report. */
     private static final double BUSY = 0.95;
     /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
@@ -38,11 +40,11 @@
     private static final double BOUND_CUT = 0.85;
     private static final double BOUND_GROW = 0.05;
     // Measures.
-    /** Hops a pace needs before it can be the best seen. */
-    private static final double ENOUGH = 6;
+    private static final double ENOUGH = 6; // hops a pace needs before it can be the best seen
     /** A single hop's pace counts as at most this, in times of the best. */
     private static final double PACE_CAP = 3;
     private static final int WARM_GROUPS = 4;
+    private static final double FAR_ZONE = 0.02; // threads a core that another zone's link counts for
     /** An engine this much slower than the fleet counts as having fewer cores. */
     private static final double SLOWER = 1.4;
     // Health.
@@ -51,14 +53,10 @@
     private static final double DOUBT_RATIO = 0.25;
     /** A drawn chance of success that earns a doubtful engine a trial. */
     private static final double TRIAL_CHANCE = 0.7;
-    /** What a silence counts for, in failures. */
-    private static final double SILENCE_WEIGHT = 3;
-    /** Share of the failures that a trial's success wipes out. */
-    private static final double TRIAL_CLEARS = 0.8;
-    /** Silence of this many expected times is suspicious. */
-    private static final double QUIET = 4;
-    /** Silence of this many periods of notes is suspicious. */
-    private static final double QUIET_NOTES = 1.3;
+    private static final double SILENCE_WEIGHT = 3; // what a silence counts for, in failures
+    private static final double TRIAL_CLEARS = 0.8; // share of the failures that a trial's success wipes out
+    private static final double QUIET = 4; // silence of this many expected times is suspicious
+    private static final double QUIET_NOTES = 1.3; // silence of this many periods of notes is suspicious
     // Bad plans.
     /** A hop projected to take this many times what is usual has a bad plan. */
     private static final double BAD_PLAN = 4;
@@ -170,9 +168,7 @@
     @Override
     public void listed(long now, boolean whole, List<Listed> entries) {
         if (whole) {
-            for (Engine engine : engines) {
-                engine.standing = Engine.Standing.GONE;
-            }
+            engines.forEach(engine -> engine.standing = Engine.Standing.GONE);
         }
         for (Listed entry : entries) {
             Engine engine = entry.engine();
@@ -181,12 +177,11 @@
                 engines.add(engine);
             }
             if (entry.startedAt() != engine.startedAt) {
-                forget(engine);
+                engine.forget(BOUND_START);
             }
             engine.kind = entry.kind();
             engine.zone = entry.zone();
             engine.cell = entry.cell();
-            engine.weight = entry.weight();
             engine.standing = entry.standing();
             engine.startedAt = entry.startedAt();
         }
@@ -204,18 +199,6 @@
         engine.boundFactor = BOUND_START;
     }
 
-    /** A process that started anew keeps nothing of its predecessor's record. */
-    private void forget(Engine engine) {
-        engine.successes.clear();
-        engine.failures.clear();
-        engine.threadsLost.clear();
-        engine.pace.clear();
-        engine.groups.clear();
-        engine.boundFactor = BOUND_START;
-        engine.pressedUntil = Long.MIN_VALUE;
-        engine.fellAt = Long.MIN_VALUE;
-    }
-
     @Override
     public void listFailed(long now) {
         if (settings.text("discovery").equals("ask")) {
@@ -232,10 +215,10 @@
         }
         payoffSeen.add(now, s.track.terms.payoff());
         workSeen.add(now, work(now, s));
-        if (s.line != null && s.track.terms.keepsOrder()) {
+        if (s.ordered()) {
             s.line.members.addLast(s);
             alarms.set(s, tooLateAt(now, s));
-            advance(now, s.line);
+            advance(now, s);
         } else {
             hold(s, false);
         }
@@ -277,13 +260,13 @@
             s.told = true;
             callOffAll(s);
         }
-        if (s.track.terms.keepsOrder() && s.line != null && outcome.leavesDoubt) {
+        if (s.ordered() && outcome.leavesDoubt) {
             s.line.restsUntil = Math.max(s.line.restsUntil, now + settleTime);
         }
         if (s.ending == null && s.hopsOut == 0) {
-            onward(now, s, outcome);
+            onward(now, s);
         }
-        advanceOver(now, s);
+        advance(now, s);
     }
 
     @Override
@@ -292,7 +275,7 @@
             s.ending = Ending.LEFT;
             s.told = true;
             callOffAll(s);
-            advanceOver(now, s);
+            advance(now, s);
         }
     }
 
@@ -363,9 +346,7 @@
             }
         }
         changed.clear();
-        for (Engine engine : probesWanted) {
-            orders.probe(engine);
-        }
+        probesWanted.forEach(orders::probe);
         probesWanted.clear();
         long next = Math.min(alarms.next(), followAgainAt);
         if (next < armedFor) {
@@ -393,16 +374,14 @@
         fresh.add(s);
     }
 
-    /**
-     * Sends what may go: of the queues' heads, the one that has used most of its time, as long as any fits.
-     */
+    /** Sends what may go: of the queues' heads, the one that has used most of its time, while any fits. */
     private void pump(long now) {
         BitSet blocked = new BitSet(tracks.size());
         while (true) {
             Track next = null;
             double most = -1;
             for (Track track : tracks) {
-                Submission head = head(track);
+                Submission head = track.head();
                 if (head != null && !blocked.get(track.index)) {
                     double used = (double) (now - head.arrivedAt) / softLimit(now, head);
                     if (used > most) {
@@ -432,13 +411,6 @@
         fresh.clear();
     }
 
-    private static Submission head(Track track) {
-        while (!track.queue.isEmpty() && track.queue.peekFirst().ending != null) {
-            track.queue.pollFirst().held = false;
-        }
-        return track.queue.peekFirst();
-    }
-
     /** Held, and no longer able to be answered within its soft limit. */
     private boolean hopeless(long now, Submission s) {
         return now > s.arrivedAt && now + usual(now, s) > softEnd(now, s);
@@ -446,9 +418,8 @@
 
     /**
      * Guards against a queue in which all wait too long to pay: the longer the head has waited, the smaller a
-     * new submission must be, against its track's mean, to be kept. It acts only while the bound holds the
-     * queue back, and answers at once. It should hold against any lasting want of capacity; it may hurt when
-     * one long wait at the head stands for no queue behind it.
+     * new submission must be, against its track's mean, to be kept. It should hold against any lasting want
+     * of capacity; it may hurt when one long wait at the head stands for no queue behind it.
      */
     private void shed(long now) {
         for (int i = 0; i < fresh.size(); i++) {
@@ -457,7 +428,7 @@
                 continue;
             }
             alarms.set(s, Math.max(now + 1, Math.min(softEnd(now, s) - usual(now, s) + 1, lastMoment(s))));
-            Submission head = head(s.track);
+            Submission head = s.track.head();
             if (head == s || !s.hops.isEmpty()) {
                 continue;
             }
@@ -478,39 +449,30 @@
         }
         change(s);
         callOffAll(s);
-        advanceOver(now, s);
+        advance(now, s);
     }
 
     private void callOffAll(Submission s) {
-        s.hops.stream().filter(Hop::isOut).forEach(this::callOff);
+        s.hops.forEach(this::callOff);
     }
 
     private void callOff(Hop hop) {
-        if (mayCallOff && hop.sent) {
+        if (mayCallOff && hop.sent && hop.isOut()) {
             hop.wantedOff = true;
             change(hop.submission);
         }
     }
 
     /** Lets the next of a key's submissions into its queue when all before it are over and have rested. */
-    private void advance(long now, KeyLine line) {
-        while (!line.members.isEmpty() && line.members.peekFirst().isOver()) {
-            line.members.pollFirst();
-        }
-        Submission head = line.members.peekFirst();
+    private void advance(long now, Submission s) {
+        Submission head = s.ordered() ? s.line.head() : null;
         if (head == null || head.ending != null || head.held || !head.hops.isEmpty()) {
             return;
         }
-        if (now >= line.restsUntil) {
+        if (now >= s.line.restsUntil) {
             hold(head, false);
-        } else if (line.restsUntil < head.wakeAt) {
-            alarms.set(head, line.restsUntil);
-        }
-    }
-
-    private void advanceOver(long now, Submission s) {
-        if (s.line != null && s.track.terms.keepsOrder() && s.isOver()) {
-            advance(now, s.line);
+        } else if (s.line.restsUntil < head.wakeAt) {
+            alarms.set(head, s.line.restsUntil);
         }
     }
 
@@ -529,7 +491,8 @@
                 continue;
             }
             if (doubtful(now, engine)) {
-                double drawn = drawChance(now, engine);
+                // Drawn from the posterior of its chance of success, so that it is never quite forgotten.
+                double drawn = Beta.draw(random, 1 + engine.successes.at(now), 1 + engine.failures.at(now));
                 if (engine.trialsOut == 0 && drawn > chance) {
                     chance = drawn;
                     likeliest = engine;
@@ -550,68 +513,43 @@
         }
         stepAside(e -> s.hops.stream().anyMatch(h -> h.engine == e));
         if (s.track.terms.holdsGroup() || s.track.terms.waitsForGroup()) {
-            stepAside(e -> loadsGroup(e, s.tableGroup));
+            stepAside(e -> e.holdsGroup(s.tableGroup));
         }
         return fewest(now, s);
     }
 
-    private interface Aside {
-        boolean test(Engine engine);
-    }
-
     /** Engines of which the test holds step aside while another remains. */
-    private void stepAside(Aside aside) {
-        int staying = 0;
-        for (Engine engine : candidates) {
-            staying += aside.test(engine) ? 0 : 1;
-        }
-        if (staying > 0 && staying < candidates.size()) {
-            candidates.removeIf(aside::test);
+    private void stepAside(Predicate<Engine> aside) {
+        if (!candidates.stream().allMatch(aside)) {
+            candidates.removeIf(aside);
         }
     }
 
-    /**
-     * LBQP: fewest of the class per core; over the expected average steps aside; a warm table group breaks
-     * ties.
-     */
+    /** LBQP: fewest of the class per core; over the expected average steps aside; warmth breaks ties. */
     private Engine fewest(long now, Submission s) {
         double fleetPace = fleetPace(now);
         double cores = 0;
         double queries = 1;
         for (Engine engine : candidates) {
             double own = effectiveCores(now, engine, fleetPace);
+            engine.classLoad = classCount(now, s, engine, own);
+            engine.load = load(now, engine, own);
             cores += own;
-            queries += classCount(now, s, engine, own) * own;
+            queries += engine.classLoad * own;
         }
         double average = queries / cores;
-        stepAside(e -> classCount(now, s, e, effectiveCores(now, e, fleetPace)) > average);
-        double least = Double.MAX_VALUE;
-        double loads = 0;
-        int ties = 0;
-        for (Engine engine : candidates) {
-            double count = classCount(now, s, engine, effectiveCores(now, engine, fleetPace));
-            if (count < least - 1e-9) {
-                least = count;
-                loads = 0;
-                ties = 0;
-            }
-            if (count <= least + 1e-9) {
-                loads += load(now, engine, fleetPace);
-                ties++;
-            }
-        }
+        stepAside(e -> e.classLoad > average);
+        double least = candidates.stream().mapToDouble(e -> e.classLoad).min().orElse(0);
+        candidates.removeIf(e -> e.classLoad > least + 1e-9);
+        double usualLoad = candidates.stream().mapToDouble(e -> e.load).average().orElse(0);
         Engine best = null;
         double bestRating = Double.MAX_VALUE;
         for (Engine engine : candidates) {
-            if (classCount(now, s, engine, effectiveCores(now, engine, fleetPace)) > least + 1e-9) {
-                continue;
-            }
-            double load = load(now, engine, fleetPace);
             // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a
             // hot group would heap its long queries there.
-            boolean warm = engine.groups.contains(s.tableGroup) && load <= loads / ties + 1e-9;
-            double rating = (warm ? 0 : 1000) + load + (engine.zone == ownZone ? 0 : 0.02)
-                    + random.nextDouble() * 0.01;
+            boolean warm = engine.groups.contains(s.tableGroup) && engine.load <= usualLoad + 1e-9;
+            double rating = (warm ? 0 : 1000) + engine.load + (engine.zone == ownZone ? 0 : FAR_ZONE)
+                    + random.nextDouble() * FAR_ZONE / 2;
             if (rating < bestRating) {
                 bestRating = rating;
                 best = engine;
@@ -626,13 +564,12 @@
     }
 
     /** Threads of all classes a core, with what the engine last said of its cores and disks. */
-    private double load(long now, Engine engine, double fleetPace) {
-        return engine.threadsOut / effectiveCores(now, engine, fleetPace)
-                + (recent(now, engine) ? engine.reportedBusy : 0);
+    private double load(long now, Engine engine, double cores) {
+        return engine.threadsOut / cores + (recent(now, engine) ? engine.reportedBusy : 0);
     }
 
     private boolean recent(long now, Engine engine) {
-        return now - engine.reportedAt < mostSoftLimit;
+        return now < engine.reportedAt + mostSoftLimit;
     }
 
     private double cores(Engine engine) {
@@ -657,41 +594,30 @@
         return ready == 0 ? 1 : sum / ready;
     }
 
-    private boolean loadsGroup(Engine engine, int tableGroup) {
-        for (Hop hop : engine.out) {
-            if (hop.submission.tableGroup == tableGroup && hop.submission.track.terms.holdsGroup()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     // ---- the thread bound ----
 
     /**
      * Guards against a jam that hides itself: an engine that answers little gives no pace, so the age of what
-     * is out there counts as well. It should hold against any stall; it may hurt where long hops outlast poor
-     * estimates.
+     * is out there counts too. It should hold against any stall; it may hurt where estimates are poor.
      */
     private boolean stalled(long now, Engine engine) {
         double ages = 0;
         for (Hop hop : engine.out) {
-            double usual = Math.max(1, hop.nominal * best(hop.submission.track));
+            double usual = Math.max(1, hop.nominal * hop.submission.track.best());
             ages += Math.min(PACE_CAP, (now - hop.sentAt) / usual);
         }
         return ages > STALL * engine.out.size();
     }
 
     private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
-        return (crowded || now < engine.pressedUntil) && (spent || engine.outByTrack[track.index] * track.terms.width() >= bound(engine)
+        int own = engine.outByTrack[track.index] * track.terms.width();
+        return (crowded || now < engine.pressedUntil) && (spent || own >= bound(engine)
                 || threads(now, engine) >= ALL_CLASSES * bound(engine));
     }
 
     /**
-     * Whether what is out is far above the bounds of all engines taken together. Guards against a jam held up by the one
-     * query that may fly below the bound: each gateway's one on each engine can be more than the engines bear. One
-     * may still fly from a gateway that has nothing out. It should hold against any shortage that outlasts the
-     * bounds' fall; it may hurt a gateway with little traffic beside many busy ones.
+     * Whether what is out is far above the bounds of all engines together. Guards against a jam held up by
+     * the one query that may fly below a bound: one from each gateway can be more than an engine bears. hold against any lasting shortage; it may hurt a gateway that has most of the traffic.
      */
     private boolean spent(long now) {
         double bounds = 0;
@@ -706,8 +632,8 @@
     }
 
     /**
-     * Pressure at a quarter of the engines bounds all. Guards against a chain of falls: what the bounded engines may
-     * not have would all go to the next one that shows nothing yet. It may hurt while a few are slow and the rest idle.
+     * Pressure at a quarter of the engines bounds all. Guards against a chain of falls: what the bounded may
+     * not have would all go to the next that shows nothing yet. It may hurt while the rest are truly idle.
      */
     private boolean crowded(long now) {
         int ready = 0;
@@ -726,8 +652,8 @@
     }
 
     /**
-     * Threads out, and those of hops that timed out where nothing can be called off. Guards against work that runs on
-     * unseen and keeps a jam alive. It may hurt after a cut, when what timed out never came to run.
+     * Threads out, and those of hops that timed out where nothing can be called off. Guards against work that
+     * runs on unseen and keeps a jam alive. It may hurt after a cut, when what timed out never came to run.
      */
     private double threads(long now, Engine engine) {
         return engine.threadsOut + engine.threadsLost.at(now);
@@ -747,32 +673,20 @@
         if (pace > FAR) {
             press(now, engine);
             cutBound(now, engine);
-        } else if (pace < EASY && (widest(engine) + 1 >= bound(engine) || waiting())) {
+        } else if (pace < EASY && (fullest(engine) + 1 >= bound(engine)
+                || tracks.stream().anyMatch(t -> t.head() != null))) {
             engine.boundFactor = Math.min(gateways * FAR / ALL_CLASSES, engine.boundFactor + BOUND_GROW);
         }
     }
 
-    /** The threads out of the class that has most out. */
-    private int widest(Engine engine) {
-        int most = 0;
-        for (Track track : tracks) {
-            most = Math.max(most, engine.outByTrack[track.index] * track.terms.width());
-        }
-        return Math.max(most, (int) (engine.threadsOut / ALL_CLASSES));
-    }
-
-    private boolean waiting() {
-        for (Track track : tracks) {
-            if (head(track) != null) {
-                return true;
-            }
-        }
-        return false;
+    /** Threads out of the fullest class, or the sum of all in class bounds. */
+    private double fullest(Engine engine) {
+        return Math.max(engine.widest(), engine.threadsOut / ALL_CLASSES);
     }
 
     private void cutBound(long now, Engine engine) {
         if (now >= engine.boundCutAt) {
-            double used = widest(engine) / (cores(engine) / gateways);
+            double used = fullest(engine) / (cores(engine) / gateways);
             double from = Math.min(engine.boundFactor, Math.max(used, BOUND_START));
             engine.boundFactor = Math.max(BOUND_LEAST, from * BOUND_CUT);
             engine.boundCutAt = now + leastSoftLimit;
@@ -847,7 +761,7 @@
     private void place(long now, Submission s, Engine engine) {
         boolean trial = doubtful(now, engine);
         double nominal = work(now, s) / s.track.terms.width();
-        long expected = (long) (nominal * best(s.track) * Math.max(1, engine.pace.at(now)));
+        long expected = (long) (nominal * s.track.best() * Math.max(1, engine.pace.at(now)));
         s.rank = rank(now, s);
         double memory = s.memoryEstimate * s.track.memoryBias.at(now) * GRANT_MARGIN;
         if (settings.flag("family_info.grants") && memory > 0) {
@@ -868,9 +782,8 @@
     }
 
     /**
-     * Only a trial has a time-out of its own. Guards against work that runs on uncounted: where nothing can
-     * be called off, a hop that timed out would go on using its engine and look free. It may hurt on an
-     * engine just gone silent.
+     * Only a trial has a time-out of its own. Guards against work that runs on uncounted where nothing can be
+     * called off: its engine would look free. It may hurt on an engine just gone silent.
      */
     private long within(long now, Submission s, long expected, boolean trial) {
         if (!trial) {
@@ -887,24 +800,18 @@
     }
 
     /** After a hop that did not fulfil: another, if the rules, the budget and the time left allow it. */
-    private void onward(long now, Submission s, Outcome outcome) {
-        boolean engineFull = outcome == Outcome.FULL;
-        if (s.hops.size() >= mostHops || !budgetLeft(now) || now + usual(now, s) > tooLateAt(now, s)
-                || (!engineFull && !anywhereAllowed(now, s))) {
-            giveUp(now, s);
-        } else {
+    private void onward(long now, Submission s) {
+        if (worthAnother(now, s)) {
             hold(s, true);
+        } else {
+            giveUp(now, s);
         }
     }
 
-    private boolean anywhereAllowed(long now, Submission s) {
-        for (Engine engine : engines) {
-            if (engine.standing == Engine.Standing.READY && s.track.terms.allows(engine)
-                    && repeatAllowed(now, s, engine)) {
-                return true;
-            }
-        }
-        return false;
+    private boolean worthAnother(long now, Submission s) {
+        return s.hops.size() < mostHops && budgetLeft(now) && now + usual(now, s) < tooLateAt(now, s)
+                && engines.stream().anyMatch(e -> e.standing == Engine.Standing.READY
+                        && s.track.terms.allows(e) && repeatAllowed(now, s, e));
     }
 
     /** What is due for a submission: its end, or a look at the hop that is out. */
@@ -917,9 +824,7 @@
             return;
         }
         if (s.hopsOut == 0) {
-            if (s.line != null && s.track.terms.keepsOrder()) {
-                advance(now, s.line);
-            }
+            advance(now, s);
             if (s.held && hopeless(now, s)) {
                 giveUp(now, s);
             } else if (s.wakeAt == Long.MAX_VALUE) {
@@ -953,27 +858,25 @@
         if (!doubtful(now, engine)) {
             engine.failures.add(now, SILENCE_WEIGHT + DOUBT_RATIO * engine.successes.at(now));
         }
-        if (mayCallOff && mayHopOn(now, hop.submission)) {
+        if (mayHopOn(now, hop.submission)) {
             callOff(hop);
         }
     }
 
     /** Whether another hop could follow if the one that is out were called off now. */
     private boolean mayHopOn(long now, Submission s) {
-        return s.track.terms.effect() != Effect.EFFECTFUL && s.hops.size() < mostHops && budgetLeft(now)
-                && now + usual(now, s) < tooLateAt(now, s) && anywhereAllowed(now, s);
+        return s.track.terms.effect() != Effect.EFFECTFUL && worthAnother(now, s);
     }
 
     /**
-     * Guards against bad plans: a hop whose notes project far more than is usual there is called off and sent
-     * anew. It should also hold against a hop stuck alone on a sound engine; it may hurt where estimates are
-     * far too low.
+     * Guards against bad plans: a hop that its notes project far beyond the usual is sent anew. It should
+     * hold against a hop stuck alone on a sound engine too; it may hurt where estimates are far too low.
      */
     private void judgeProgress(long now, Hop hop) {
         long age = now - hop.sentAt;
         double projected = age / Math.max(LEAST_SHARE, hop.share);
-        double usual = hop.nominal * best(hop.submission.track) * Math.max(1, hop.engine.pace.at(now));
-        double pace = projected / hop.nominal / best(hop.submission.track);
+        double usual = hop.nominal * hop.submission.track.best() * Math.max(1, hop.engine.pace.at(now));
+        double pace = projected / hop.nominal / hop.submission.track.best();
         hop.engine.pace.add(now, Math.min(PACE_CAP, pace), 0.5);
         adjustBound(now, hop.engine);
         if (projected > BAD_PLAN * usual && projected - age > FAR * usual && hop.submission.ending == null
@@ -991,19 +894,18 @@
                 engine.heardAt = now;
                 succeed(now, engine, hop.trial);
             }
-            case FULL -> {
-                engine.heardAt = now;
-                engine.failures.add(now, 1);
-                press(now, engine);
-                cutBound(now, engine);
-            }
-            case ERRED -> {
+            // Guards against an engine that fails or refuses at once: its empty counts would draw its class.
+            case FULL, ERRED -> {
                 engine.heardAt = now;
                 engine.failures.add(now, 1);
+                if (outcome == Outcome.FULL) {
+                    press(now, engine);
+                    cutBound(now, engine);
+                }
             }
             case UNREACHABLE -> engine.failures.add(now, SILENCE_WEIGHT);
-            // Guards against a restart that the list tells late: a process that dropped its connections comes back
-            // cold. It should hold for any crash; it may hurt where the network alone dropped them.
+            // Guards against a restart that the list tells late: a process that dropped its connections comes
+            // back cold. It should hold for any crash; it may hurt where the network alone dropped them.
             case SEVERED -> {
                 engine.failures.add(now, SILENCE_WEIGHT);
                 engine.fellAt = now;
@@ -1039,12 +941,12 @@
         track.work.add(now, work > 0 ? work : s.estimate > 0 ? work(now, s) : lag * track.terms.width(), 1);
         double nominal = work > 0 ? work / track.terms.width() : hop.nominal;
         double pace = lag / Math.max(1, nominal);
-        track.pace.add(now, Math.min(pace, 2 * PACE_CAP * best(track)), 1);
+        track.pace.add(now, Math.min(pace, 2 * PACE_CAP * track.best()), 1);
         if (track.pace.weight(now) >= ENOUGH) {
             double mean = track.pace.at(now);
             track.bestPace = track.bestPace == 0 ? mean : Math.min(track.bestPace, mean);
         }
-        hop.engine.pace.add(now, Math.min(PACE_CAP, pace / best(track)), 1);
+        hop.engine.pace.add(now, Math.min(PACE_CAP, pace / track.best()), 1);
         adjustBound(now, hop.engine);
     }
 
@@ -1058,8 +960,7 @@
             switch (reportFields.get(i)) {
                 case "busy_reqs" -> engine.reportedQueries = report[i];
                 case "cpu_share", "x1" -> engine.reportedBusy = Math.max(engine.reportedBusy, report[i]);
-                case "pending" -> engine.reportedBusy = report[i] >= 1 ? Math.max(1, engine.reportedBusy)
-                        : engine.reportedBusy;
+                case "pending" -> engine.reportedBusy = Math.max(engine.reportedBusy, report[i] >= 1 ? 1 : 0);
                 default -> { }
             }
         }
@@ -1073,19 +974,11 @@
         return failed > DOUBT_LEAST && failed > DOUBT_RATIO * engine.successes.at(now);
     }
 
-    /** Drawn from the posterior of the engine's chance of success. */
-    private double drawChance(long now, Engine engine) {
-        return Beta.draw(random, 1 + engine.successes.at(now), 1 + Math.max(0, engine.failures.at(now)));
-    }
-
     /** Where probes are allowed, a doubtful engine with no trial out gets one now and then. */
     private void wantProbes(long now) {
-        if (!mayProbe) {
-            return;
-        }
         for (Engine engine : engines) {
-            if (engine.standing == Engine.Standing.READY && doubtful(now, engine) && engine.trialsOut == 0
-                    && !engine.probeOut && now - engine.probedAt > mostSoftLimit) {
+            if (mayProbe && engine.standing == Engine.Standing.READY && doubtful(now, engine)
+                    && engine.trialsOut == 0 && !engine.probeOut && now > engine.probedAt + mostSoftLimit) {
                 engine.probeOut = true;
                 engine.probedAt = now;
                 probesWanted.add(engine);
@@ -1093,17 +986,13 @@
         }
     }
 
-    private static double best(Track track) {
-        return track.bestPace == 0 ? 1 : track.bestPace;
-    }
-
     private static double work(long now, Submission s) {
         return s.estimate > 0 ? s.estimate * s.track.bias.at(now) : s.track.work.at(now);
     }
 
     /** Time that a hop sent now is expected to take on an ordinary engine. */
     private long usual(long now, Submission s) {
-        double pace = Math.max(s.track.pace.at(now), best(s.track) * Math.max(1, fleetPace(now)));
+        double pace = Math.max(s.track.pace.at(now), s.track.best() * Math.max(1, fleetPace(now)));
         return (long) (work(now, s) / s.track.terms.width() * pace);
     }
 
--- a/src/main/java/tillerlink/model/Engine.java
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -14,7 +14,6 @@
     public int kind;
     public int zone;
     public int cell;
-    public double weight = 1;
     public Standing standing = Standing.GONE;
     public long startedAt;
 
@@ -42,6 +41,9 @@
     public double reportedQueries;
     /** The busiest of what it said of its cores and disks, 1 being all. */
     public double reportedBusy;
+    /** Queries of the class in hand a core, and threads of all a core, as last weighed. */
+    public double classLoad;
+    public double load;
     public long probedAt = Long.MIN_VALUE;
     public boolean probeOut;
 
@@ -65,6 +67,30 @@
         out.remove(hop);
     }
 
+    /** Whether a load that is out here holds the table group. */
+    public boolean holdsGroup(int tableGroup) {
+        return out.stream().anyMatch(hop -> hop.submission.tableGroup == tableGroup
+                && hop.submission.track.terms.holdsGroup());
+    }
+
+    /** The threads out of the class that has most out. */
+    public int widest() {
+        return out.stream().mapToInt(hop -> outByTrack[hop.submission.trackIndex]
+                * hop.submission.track.terms.width()).max().orElse(0);
+    }
+
+    /** A process that started anew keeps nothing of its predecessor's record. */
+    public void forget(double boundAtStart) {
+        successes.clear();
+        failures.clear();
+        threadsLost.clear();
+        pace.clear();
+        groups.clear();
+        boundFactor = boundAtStart;
+        pressedUntil = Long.MIN_VALUE;
+        fellAt = Long.MIN_VALUE;
+    }
+
     private void count(Hop hop, int by) {
         outByTrack[hop.submission.trackIndex] += by;
         threadsOut += by * hop.submission.track.terms.width();
--- a/src/main/java/tillerlink/model/KeyLine.java
+++ b/src/main/java/tillerlink/model/KeyLine.java
@@ -7,4 +7,12 @@
     public final ArrayDeque<Submission> members = new ArrayDeque<>();
     /** Nothing of this key is sent before. */
     public long restsUntil = Long.MIN_VALUE;
+
+    /** The first that is not over, or null. */
+    public Submission head() {
+        while (!members.isEmpty() && members.peekFirst().isOver()) {
+            members.pollFirst();
+        }
+        return members.peekFirst();
+    }
 }
--- a/src/main/java/tillerlink/model/Submission.java
+++ b/src/main/java/tillerlink/model/Submission.java
@@ -50,6 +50,11 @@
         this.line = line;
     }
 
+    /** Its track keeps an order, and it has a key. */
+    public boolean ordered() {
+        return line != null && track.terms.keepsOrder();
+    }
+
     /** Ended, with no hop left of which anything more will be heard. */
     public boolean isOver() {
         return ending != null && hopsOut == 0;
--- a/src/main/java/tillerlink/model/Track.java
+++ b/src/main/java/tillerlink/model/Track.java
@@ -27,4 +27,17 @@
         this.work = work;
         this.pace = pace;
     }
+
+    /** The best pace seen, or that of the estimates while too little was seen. */
+    public double best() {
+        return bestPace == 0 ? 1 : bestPace;
+    }
+
+    /** The first held submission that is still owed an answer, or null. */
+    public Submission head() {
+        while (!queue.isEmpty() && queue.peekFirst().ending != null) {
+            queue.pollFirst().held = false;
+        }
+        return queue.peekFirst();
+    }
 }
--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -137,6 +137,35 @@
         t.matches("silent");
     }
 
+    @Test
+    void crashedEngineCountsAsColdWhenItReturns() {
+        Trace t = new Trace().up("a0", "b0").pass(5000);
+        t.arrive("s1", 0, 100, 1, null).end("s1", SEVERED).pass(100).end("s1", FULFILLED).pass(7000);
+        t.say("in doubt no more, but perhaps cold: no room there for 2 s of work, for 100 ms there is");
+        for (int i = 2; i <= 5; i++) {
+            t.arrive("big" + i, 0, 2000, i, null);
+        }
+        t.arrive("small", 0, 100, 6, null).matches("crashed");
+    }
+
+    @Test
+    void workThatTimedOutStillCountsWhereItCannotBeCalledOff() {
+        Trace t = new Trace().set("instances", 8L, "caps.may_cancel", false, "family_info.width_by_class", List.of(2));
+        t.up("a0").arrive("s1", 0, 300).pass(3000);
+        for (int i = 0; i < 8; i++) {
+            t.note("s1", 0.1);
+        }
+        t.end("s1", OVERDUE).say("a0 is slow, and s1 runs on there: no more for now");
+        t.arrive("s2", 0, 100).arrive("s3", 0, 100).pass(2000).matches("lost-threads");
+    }
+
+    @Test
+    void jamThatAnswersNothingIsSeenByTheAgeOfWhatIsOut() {
+        Trace t = new Trace().set("instances", 8L).track("repeatable", "late_worth", 0.3).up("a0", "b0");
+        t.arrive("s1", 1, 100, 1, null).arrive("s2", 1, 100, 2, null).pass(350).say("both are out three times too long");
+        t.arrive("s3", 1, 100, 3, null).arrive("s4", 1, 100, 4, null).pass(3000).matches("stall");
+    }
+
     @Test
     void badPlanIsSentAnew() {
         Trace t = new Trace().track("repeatable", "late_worth", 0.3).up("a0", "b0");
