--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -151,9 +151,9 @@
     @Test
     void workThatTimedOutStillCountsWhereItCannotBeCalledOff() {
         Trace t = new Trace().set("instances", 8L, "caps.may_cancel", false, "family_info.width_by_class", List.of(2));
-        t.up("a0").arrive("s1", 0, 300).pass(3000);
-        for (int i = 0; i < 8; i++) {
-            t.note("s1", 0.1);
+        t.up("a0").arrive("s1", 0, 300);
+        for (int i = 0; i < 9; i++) {
+            t.pass(330).note("s1", 0.1);
         }
         t.end("s1", OVERDUE).say("a0 is slow, and s1 runs on there: no more for now");
         t.arrive("s2", 0, 100).arrive("s3", 0, 100).pass(2000).matches("lost-threads");
