--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -413,7 +413,11 @@
 
     /** Held, and no longer able to be answered within its soft limit. */
     private boolean hopeless(long now, Submission s) {
-        return now > s.arrivedAt && now + usual(now, s) > softEnd(now, s);
+        return now > s.arrivedAt && now >= hopelessAt(now, s);
+    }
+
+    private long hopelessAt(long now, Submission s) {
+        return Math.min(softEnd(now, s) - usual(now, s) + 1, lastMoment(s));
     }
 
     /**
@@ -427,7 +431,7 @@
             if (!s.held || s.ending != null) {
                 continue;
             }
-            alarms.set(s, Math.max(now + 1, Math.min(softEnd(now, s) - usual(now, s) + 1, lastMoment(s))));
+            alarms.set(s, Math.max(now + tick, hopelessAt(now, s)));
             Submission head = s.track.head();
             if (head == s || !s.hops.isEmpty()) {
                 continue;
@@ -616,8 +620,9 @@
     }
 
     /**
-     * Whether what is out is far above the bounds of all engines together. Guards against a jam held up by
-     * the one query that may fly below a bound: one from each gateway can be more than an engine bears. hold against any lasting shortage; it may hurt a gateway that has most of the traffic.
+     * Whether what is out is far above all engines' bounds together. Guards against a jam held up by the
+     * one query that may fly below a bound: one from each gateway can be more than an engine bears. It should
+     * hold against any lasting shortage; it may hurt a gateway that has most of the traffic.
      */
     private boolean spent(long now) {
         double bounds = 0;
@@ -653,7 +658,7 @@
 
     /**
      * Threads out, and those of hops that timed out where nothing can be called off. Guards against work that
-     * runs on unseen and keeps a jam alive. It may hurt after a cut, when what timed out never came to run.
+     * runs on unseen and keeps a jam alive, on an engine heard meanwhile: after a cut nothing may have run.
      */
     private double threads(long now, Engine engine) {
         return engine.threadsOut + engine.threadsLost.at(now);
@@ -828,7 +833,7 @@
             if (s.held && hopeless(now, s)) {
                 giveUp(now, s);
             } else if (s.wakeAt == Long.MAX_VALUE) {
-                alarms.set(s, tooLateAt(now, s));
+                alarms.set(s, s.held ? Math.max(now + tick, hopelessAt(now, s)) : tooLateAt(now, s));
             }
             return;
         }
@@ -911,11 +916,10 @@
                 engine.fellAt = now;
             }
             case OVERDUE -> {
-                if (!mayCallOff) {
-                    engine.threadsLost.add(now, hop.submission.track.terms.width());
-                }
                 if (engine.heardAt < hop.sentAt) {
                     engine.failures.add(now, 1);
+                } else if (!mayCallOff) {
+                    engine.threadsLost.add(now, hop.submission.track.terms.width());
                 }
             }
             default -> { }
