--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -637,8 +637,8 @@
     }
 
     /**
-     * Pressure at a quarter of the engines bounds all. Guards against a chain of falls: what the bounded may
-     * not have would all go to the next that shows nothing yet. It may hurt while the rest are truly idle.
+     * Pressure or doubt at a quarter of the engines bounds all. Guards against a chain of falls: what these
+     * may not have would all go to the next that shows nothing yet. It may hurt while the rest are idle.
      */
     private boolean crowded(long now) {
         int ready = 0;
@@ -650,7 +650,7 @@
                     cutBound(now, engine);
                 }
                 ready++;
-                pressed += now < engine.pressedUntil ? 1 : 0;
+                pressed += now < engine.pressedUntil || doubtful(now, engine) ? 1 : 0;
             }
         }
         return pressed >= CROWD * ready;
--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -55,6 +55,16 @@
         t.matches("bounds-all");
     }
 
+    @Test
+    void doubtAtAQuarterOfTheEnginesBoundsTheRest() {
+        Trace t = new Trace().set("instances", 8L).up("a0", "b0", "c1", "d1");
+        t.arrive("s1", 0, 300).end("s1", SEVERED).say("one engine of four is in doubt: the others take one thread each");
+        for (int i = 2; i <= 6; i++) {
+            t.arrive("s" + i, 0, 300, i, null);
+        }
+        t.matches("doubt-bounds");
+    }
+
     @Test
     void effectfulNeverRunsTwice() {
         Trace t = new Trace().track("once").up("a0", "b0");
