--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -65,6 +65,15 @@
         t.matches("doubt-bounds");
     }
 
+    @Test
+    void gatewayJustStartedDoesNotFloodTheFewEnginesItKnows() {
+        Trace t = new Trace().set("family_info.width_by_class", List.of(5)).up("a0");
+        for (int i = 1; i <= 5; i++) {
+            t.arrive("s" + i, 0, 300, i, null);
+        }
+        t.say("a0 has 8 cores: 20 threads are over twice that").matches("flood");
+    }
+
     @Test
     void effectfulNeverRunsTwice() {
         Trace t = new Trace().track("once").up("a0", "b0");
