--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -602,8 +602,8 @@
 
     /**
      * Guards against a jam that hides itself: an engine that answers little gives no pace, so the age of what
-     * is out there counts too, and twice its cores in threads from here alone, which a gateway just started
-     * may send before it has learned. It should hold against any stall; it may hurt where estimates are poor.
+     * is out there counts too, and 1.5 times its cores in threads from here alone: a gateway just started
+     * sends these before it has learned. It should hold against any stall; it may hurt where estimates are poor.
      */
     private boolean stalled(long now, Engine engine) {
         double ages = 0;
@@ -611,7 +611,7 @@
             double usual = Math.max(1, hop.nominal * hop.submission.track.best());
             ages += Math.min(PACE_CAP, (now - hop.sentAt) / usual);
         }
-        return ages > STALL * engine.out.size() || engine.threadsOut >= FAR * cores(engine);
+        return ages > STALL * engine.out.size() || engine.threadsOut >= ALL_CLASSES * cores(engine);
     }
 
     private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -71,7 +71,7 @@
         for (int i = 1; i <= 5; i++) {
             t.arrive("s" + i, 0, 300, i, null);
         }
-        t.say("a0 has 8 cores: 20 threads are over twice that").matches("flood");
+        t.say("a0 has 8 cores: 15 threads are over one and a half times that").matches("flood");
     }
 
     @Test
