--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -603,7 +603,7 @@
     /**
      * Guards against a jam that hides itself: an engine that answers little gives no pace, so the age of what
      * is out there counts too, and 1.5 times its cores in threads from here alone: a gateway just started
-     * sends these before it has learned. It should hold against any stall; it may hurt where estimates are poor.
+     * sends these before it learns. It should hold against any stall; it may hurt where estimates are poor.
      */
     private boolean stalled(long now, Engine engine) {
         double ages = 0;
