--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -616,8 +616,8 @@
 
     private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
         int own = engine.outByTrack[track.index] * track.terms.width();
-        return (crowded || now < engine.pressedUntil) && (spent || own >= bound(engine)
-                || threads(now, engine) >= ALL_CLASSES * bound(engine));
+        return (crowded || now < engine.pressedUntil) && (spent || own > 0 && (own >= bound(engine)
+                || threads(now, engine) >= ALL_CLASSES * bound(engine)));
     }
 
     /**
@@ -634,7 +634,7 @@
                 threads += threads(now, engine);
             }
         }
-        return threads > 0 && threads >= FAR * ALL_CLASSES * bounds;
+        return threads > 0 && threads >= ALL_CLASSES * bounds;
     }
 
     /**
