--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -1,6 +1,7 @@
 package tillerlink;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
@@ -22,53 +23,38 @@
 public final class Policy implements Steering {
     // Pressure and the thread bound (design, section "ordinary path", point 4).
     private static final double FAR = 2.0; // a pace this many times the best seen is far above it
-    /**
-     * The same for the mean age of what is out; nearer to the cap, since hops that were underrated stay out
-     * longest.
-     */
+    /** The same for the mean age of what is out; nearer the cap, since underrated hops stay out longest. */
     private static final double STALL = 2.6;
     private static final double EASY = 1.6; // below this many times the best, the bound may grow again
-    /** A reported share of cores or disks from here on is a busy report. */
-    private static final double BUSY = 0.95;
+    private static final double BUSY = 0.95; // a reported share of cores or disks that is a busy report
     /** Threads a core at which the bound starts: a thread is on its core for part of its time only. */
     private static final double BOUND_START = 1;
-    /** Share of the engines under pressure from which all are bounded. */
-    private static final double CROWD = 0.25;
-    /** What all classes together may have out, in bounds of one: they share the cores. */
-    private static final double ALL_CLASSES = 1.5;
+    private static final double CROWD = 0.25; // share of engines under pressure from which all are bounded
+    private static final double ALL_CLASSES = 1.5; // all classes together, in bounds of one: cores are shared
     private static final double BOUND_LEAST = 0.27;
     private static final double BOUND_CUT = 0.85;
     private static final double BOUND_GROW = 0.05;
     // Measures.
     private static final double ENOUGH = 6; // hops a pace needs before it can be the best seen
-    /** A single hop's pace counts as at most this, in times of the best. */
-    private static final double PACE_CAP = 3;
+    private static final double PACE_CAP = 3; // a hop's pace counts as at most this, in times of the best
     private static final int WARM_GROUPS = 4;
-    private static final double FAR_ZONE = 0.02; // threads a core that another zone's link counts for
-    /** An engine this much slower than the fleet counts as having fewer cores. */
-    private static final double SLOWER = 1.4;
+    private static final double SLOWER = 1.4; // this much slower than the fleet counts as fewer cores
     // Health.
     private static final double DOUBT_LEAST = 0.7;
-    /** Failures for each success from which an engine is doubtful. */
-    private static final double DOUBT_RATIO = 0.25;
-    /** A drawn chance of success that earns a doubtful engine a trial. */
-    private static final double TRIAL_CHANCE = 0.7;
+    private static final double DOUBT_RATIO = 0.25; // failures for each success that make an engine doubtful
+    private static final double TRIAL_CHANCE = 0.7; // drawn chance of success that earns a trial
     private static final double SILENCE_WEIGHT = 3; // what a silence counts for, in failures
     private static final double TRIAL_CLEARS = 0.8; // share of the failures that a trial's success wipes out
     private static final double QUIET = 4; // silence of this many expected times is suspicious
     private static final double QUIET_NOTES = 1.3; // silence of this many periods of notes is suspicious
     // Bad plans.
-    /** A hop projected to take this many times what is usual has a bad plan. */
-    private static final double BAD_PLAN = 4;
+    private static final double BAD_PLAN = 4; // a hop projected at this many times the usual has a bad plan
     private static final double LEAST_SHARE = 0.005;
     // Cold engines.
-    /** Share of the stated limit that all gateways together may use. */
-    private static final double COLD_USE = 0.35;
-    /** Room that a hop must find, in times of its expected work: estimates scatter. */
-    private static final double COLD_ROOM = 2;
+    private static final double COLD_USE = 0.35; // share of the stated limit for all gateways together
+    private static final double COLD_ROOM = 2; // room for a hop, in times of its work: estimates scatter
     private static final int SLICES = 50;
-    /** Margin on an estimated soft limit before a submission counts as too late. */
-    private static final double LATE_MARGIN = 1.25;
+    private static final double LATE_MARGIN = 1.25; // margin on an estimated soft limit before it is too late
     private static final double GRANT_MARGIN = 1.25;
 
     private final Orders orders;
@@ -84,15 +70,22 @@
     private final Alarms alarms = new Alarms();
     private long armedFor = Long.MAX_VALUE;
     private boolean followWanted;
+    /** What the last survey found; of the pools, the second is that of the engines under pressure. */
+    private final double[] poolBounds = new double[2];
+    private final double[] poolThreads = new double[2];
+    private boolean crowded;
+    private double fleetPace = 1;
+    private double usualBusy;
     private long followAgainAt = Long.MAX_VALUE;
 
     private final int gateways;
-    private final int ownZone;
     private final boolean mayCallOff;
     private final boolean mayProbe;
     private final int mostHops;
     private final long tick;
     private final long settleTime;
+    /** Threads of one query of each track. */
+    private final int oneOfEach;
     private final long leastSoftLimit;
     private final long mostSoftLimit;
     private final long noteEvery;
@@ -110,7 +103,6 @@
         random = new Random(seed);
         startedAt = now;
         gateways = (int) Math.max(1, settings.number("instances", 1));
-        ownZone = (int) settings.number("az", -1);
         mayCallOff = settings.flag("caps.may_cancel");
         mayProbe = settings.flag("caps.may_probe");
         mostHops = (int) settings.number("caps.max_attempts", 1);
@@ -131,6 +123,7 @@
                     new DecayingMean(terms.hardStop() * 4.0, terms.softLimit() * terms.width() / FAR, 1),
                     new DecayingMean(terms.softLimit() * 4.0, 1, 1e-6)));
         }
+        oneOfEach = tracks.stream().mapToInt(track -> track.terms.width()).sum();
         leastSoftLimit = least;
         mostSoftLimit = most;
         long budgetSpan = settings.number("guarantees.budget_span", 0);
@@ -255,10 +248,8 @@
         if (outcome == Outcome.FULFILLED) {
             learn(now, hop, lag, work, memory);
         }
-        if (answered && s.ending == null) {
-            s.ending = outcome == Outcome.FULFILLED ? Ending.FULFILLED : Ending.LEFT;
-            s.told = true;
-            callOffAll(s);
+        if (answered) {
+            close(s, outcome == Outcome.FULFILLED ? Ending.FULFILLED : Ending.LEFT);
         }
         if (s.ordered() && outcome.leavesDoubt) {
             s.line.restsUntil = Math.max(s.line.restsUntil, now + settleTime);
@@ -271,11 +262,15 @@
 
     @Override
     public void left(long now, Submission s) {
+        close(s, Ending.LEFT);
+        advance(now, s);
+    }
+
+    private void close(Submission s, Ending ending) {
         if (s.ending == null) {
-            s.ending = Ending.LEFT;
+            s.ending = ending;
             s.told = true;
             callOffAll(s);
-            advance(now, s);
         }
     }
 
@@ -305,6 +300,7 @@
             followAgainAt = Long.MAX_VALUE;
             followWanted = true;
         }
+        survey(now);
         pump(now);
         wantProbes(now);
         emit(now);
@@ -337,7 +333,7 @@
                 Hop hop = s.hops.get(h);
                 if (!hop.sent) {
                     hop.sent = true;
-                    orders.send(hop, hop.within);
+                    orders.send(hop);
                 }
                 if (hop.wantedOff && !hop.calledOff && hop.isOut()) {
                     hop.calledOff = true;
@@ -486,8 +482,8 @@
     private Engine choose(long now, Submission s) {
         candidates.clear();
         boolean sound = false;
-        boolean crowded = crowded(now);
-        boolean spent = crowded && spent(now);
+        survey(now);
+        Room best = Room.NONE;
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
@@ -504,7 +500,12 @@
                 continue;
             }
             sound = true;
-            if (!bounded(now, engine, s.track, crowded, spent)) {
+            Room room = room(now, engine, s.track);
+            if (room.compareTo(best) < 0) {
+                candidates.clear();
+                best = room;
+            }
+            if (room == best && room != Room.NONE) {
                 candidates.add(engine);
             }
         }
@@ -512,7 +513,7 @@
         if (likeliest != null && (trial || !sound)) {
             return likeliest;
         }
-        if (candidates.isEmpty()) {
+        if (candidates.isEmpty() || spent(best)) {
             return null;
         }
         stepAside(e -> s.hops.stream().anyMatch(h -> h.engine == e));
@@ -531,13 +532,15 @@
 
     /** LBQP: fewest of the class per core; over the expected average steps aside; warmth breaks ties. */
     private Engine fewest(long now, Submission s) {
-        double fleetPace = fleetPace(now);
         double cores = 0;
         double queries = 1;
         for (Engine engine : candidates) {
-            double own = effectiveCores(now, engine, fleetPace);
-            engine.classLoad = classCount(now, s, engine, own);
-            engine.load = load(now, engine, own);
+            double own = effectiveCores(now, engine);
+            engine.classLoad = engine.outByTrack[s.trackIndex] / own
+                    + (recent(now, engine) ? engine.reportedQueries / cores(engine) : 0);
+            // Guards against a jammed engine that answers nothing: after a while it would look idle.
+            engine.load = engine.threadsOut / own + (recent(now, engine) ? engine.reportedBusy
+                    : Math.max(usualBusy, engine.reportedBusy));
             cores += own;
             queries += engine.classLoad * own;
         }
@@ -550,10 +553,11 @@
         double bestRating = Double.MAX_VALUE;
         for (Engine engine : candidates) {
             // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a
-            // hot group would heap its long queries there.
+            // hot group would heap its long queries there. Then the least load, with a chance draw by cores:
+            // guards against many gateways that know little and would choose alike. It costs crossings.
             boolean warm = engine.groups.contains(s.tableGroup) && engine.load <= usualLoad + 1e-9;
-            double rating = (warm ? 0 : 1000) + engine.load + (engine.zone == ownZone ? 0 : FAR_ZONE)
-                    + random.nextDouble() * FAR_ZONE / 2;
+            double chance = -Math.log(1 - random.nextDouble()) / cores(engine);
+            double rating = (warm ? 0 : 1000) + engine.load + chance;
             if (rating < bestRating) {
                 bestRating = rating;
                 best = engine;
@@ -562,16 +566,6 @@
         return best;
     }
 
-    private double classCount(long now, Submission s, Engine engine, double cores) {
-        double reported = recent(now, engine) ? engine.reportedQueries / cores(engine) : 0;
-        return engine.outByTrack[s.trackIndex] / cores + reported;
-    }
-
-    /** Threads of all classes a core, with what the engine last said of its cores and disks. */
-    private double load(long now, Engine engine, double cores) {
-        return engine.threadsOut / cores + (recent(now, engine) ? engine.reportedBusy : 0);
-    }
-
     private boolean recent(long now, Engine engine) {
         return now < engine.reportedAt + mostSoftLimit;
     }
@@ -581,23 +575,11 @@
     }
 
     /** An engine slower than the fleet, or still cold, counts with the cores it seems to have. */
-    private double effectiveCores(long now, Engine engine, double fleetPace) {
+    private double effectiveCores(long now, Engine engine) {
         double slower = engine.pace.at(now) / fleetPace;
         return cores(engine) * warmth(now, engine) / (slower > SLOWER ? slower : 1);
     }
 
-    private double fleetPace(long now) {
-        double sum = 0;
-        int ready = 0;
-        for (Engine engine : engines) {
-            if (engine.standing == Engine.Standing.READY && !doubtful(now, engine)) {
-                sum += engine.pace.at(now);
-                ready++;
-            }
-        }
-        return ready == 0 ? 1 : sum / ready;
-    }
-
     // ---- the thread bound ----
 
     /**
@@ -614,47 +596,76 @@
         return ages > STALL * engine.out.size() || engine.threadsOut >= ALL_CLASSES * cores(engine);
     }
 
-    private boolean bounded(long now, Engine engine, Track track, boolean crowded, boolean spent) {
-        int own = engine.outByTrack[track.index] * track.terms.width();
-        return (crowded || now < engine.pressedUntil) && (spent || own > 0 && (own >= bound(engine)
-                || threads(now, engine) >= ALL_CLASSES * bound(engine)));
-    }
+    /** What room an engine has under the bound; those with a better one come first. */
+    private enum Room { BOUND, ONE, LAST, NONE }
 
     /**
-     * Whether what is out is far above all engines' bounds together. Guards against a jam held up by the
-     * one query that may fly below a bound: one from each gateway can be more than an engine bears. It should
-     * hold against any lasting shortage; it may hurt a gateway that has most of the traffic.
+     * Within its bound, or room for the one query that may always fly. Guards against a jam that never
+     * drains: where a gateway's share of an engine is less than a query, one from each gateway is more than
+     * it bears, so an engine under pressure gets it last, and only when nothing else of ours is there.
      */
-    private boolean spent(long now) {
-        double bounds = 0;
-        double threads = 0;
-        for (Engine engine : engines) {
-            if (engine.standing == Engine.Standing.READY) {
-                bounds += bound(engine);
-                threads += threads(now, engine);
-            }
+    private Room room(long now, Engine engine, Track track) {
+        boolean pressed = now < engine.pressedUntil;
+        int width = track.terms.width();
+        int own = engine.outByTrack[track.index] * width;
+        double bound = bound(engine);
+        double threads = threads(now, engine);
+        boolean within = (own > 0 ? own < bound : width <= bound) && threads < ALL_CLASSES * bound;
+        if (within || !crowded && !pressed) {
+            return Room.BOUND;
+        }
+        if (own > 0 || threads + width > Math.max(ALL_CLASSES * bound, pressed ? width : oneOfEach)) {
+            return Room.NONE;
         }
-        return threads > 0 && threads >= ALL_CLASSES * bounds;
+        return pressed ? Room.LAST : Room.ONE;
+    }
+
+    /**
+     * Whether what is out on the engines with or without pressure is above their bounds together. Guards
+     * against a jam held up by the one query that may fly below a bound. It should hold against any lasting
+     * shortage; it may hurt a gateway that has most of the traffic.
+     */
+    private boolean spent(Room room) {
+        int pool = room == Room.LAST ? 1 : 0;
+        return room != Room.BOUND && poolThreads[pool] >= ALL_CLASSES * Math.max(poolBounds[pool], oneOfEach);
     }
 
     /**
-     * Pressure or doubt at a quarter of the engines bounds all. Guards against a chain of falls: what these
-     * may not have would all go to the next that shows nothing yet. It may hurt while the rest are idle.
+     * Sums up the ready engines. Pressure or doubt at a quarter of them bounds all. Guards against a chain of
+     * falls: what these may not have would all go to the next that shows nothing yet. It may hurt while the
+     * rest are idle.
      */
-    private boolean crowded(long now) {
+    private void survey(long now) {
         int ready = 0;
+        int sound = 0;
         int pressed = 0;
+        int heard = 0;
+        double paces = 0;
+        double busy = 0;
+        Arrays.fill(poolBounds, 0);
+        Arrays.fill(poolThreads, 0);
         for (Engine engine : engines) {
-            if (engine.standing == Engine.Standing.READY) {
-                if (stalled(now, engine)) {
-                    press(now, engine);
-                    cutBound(now, engine);
-                }
-                ready++;
-                pressed += now < engine.pressedUntil || doubtful(now, engine) ? 1 : 0;
+            if (engine.standing != Engine.Standing.READY) {
+                continue;
             }
-        }
-        return pressed >= CROWD * ready;
+            if (stalled(now, engine)) {
+                press(now, engine);
+                cutBound(now, engine);
+            }
+            ready++;
+            boolean under = now < engine.pressedUntil;
+            boolean doubt = doubtful(now, engine);
+            pressed += under || doubt ? 1 : 0;
+            sound += doubt ? 0 : 1;
+            paces += doubt ? 0 : engine.pace.at(now);
+            heard += recent(now, engine) ? 1 : 0;
+            busy += recent(now, engine) ? engine.reportedBusy : 0;
+            poolBounds[under ? 1 : 0] += bound(engine);
+            poolThreads[under ? 1 : 0] += threads(now, engine);
+        }
+        crowded = pressed >= CROWD * ready || spent(Room.ONE) || spent(Room.LAST);
+        fleetPace = sound == 0 ? 1 : paces / sound;
+        usualBusy = heard == 0 ? 0 : busy / heard;
     }
 
     /**
@@ -725,10 +736,9 @@
     }
 
     private boolean mayTurnBack(Submission s) {
-        if (s.track.terms.effect() == Effect.PURE) {
-            return true;
-        }
-        return (s.track.terms.effect() == Effect.RECEIPTED && s.track.terms.circle() == Circle.ALL)
+        TrackTerms terms = s.track.terms;
+        return terms.effect() == Effect.PURE
+                || (terms.effect() == Effect.RECEIPTED && terms.circle() == Circle.ALL)
                 || s.hops.stream().noneMatch(Hop::mayHaveRun);
     }
 
@@ -778,7 +788,7 @@
         if (!s.hops.isEmpty() && further != null) {
             further.add(now, 1);
         }
-        Hop hop = new Hop(s, engine, now, expected, nominal, within(now, s, expected, trial), trial);
+        Hop hop = new Hop(s, engine, now, expected, nominal, trial);
         s.hops.add(hop);
         s.hopsOut++;
         engine.enter(hop, WARM_GROUPS);
@@ -787,18 +797,6 @@
         alarms.set(s, Math.min(lastMoment(s), now + quietLimit(s, hop)));
     }
 
-    /**
-     * Only a trial has a time-out of its own. Guards against work that runs on uncounted where nothing can be
-     * called off: its engine would look free. It may hurt on an engine just gone silent.
-     */
-    private long within(long now, Submission s, long expected, boolean trial) {
-        if (!trial) {
-            return 0;
-        }
-        long wait = Math.max((long) (QUIET * expected), softLimit(now, s) / 2);
-        return Math.max(1, Math.min(s.leavesAt - now, wait));
-    }
-
     private int rank(long now, Submission s) {
         double usual = payoffSeen.at(now) / Math.max(1, workSeen.at(now));
         double dense = s.track.terms.payoff() / Math.max(1, work(now, s)) / usual;
@@ -997,7 +995,7 @@
 
     /** Time that a hop sent now is expected to take on an ordinary engine. */
     private long usual(long now, Submission s) {
-        double pace = Math.max(s.track.pace.at(now), s.track.best() * Math.max(1, fleetPace(now)));
+        double pace = Math.max(s.track.pace.at(now), s.track.best() * Math.max(1, fleetPace));
         return (long) (work(now, s) / s.track.terms.width() * pace);
     }
 
--- a/src/main/java/tillerlink/port/Orders.java
+++ b/src/main/java/tillerlink/port/Orders.java
@@ -12,8 +12,8 @@
      */
     void terms(Submission submission, int rank, long grant);
 
-    /** @param within time-out; 0 means until the client gives up */
-    void send(Hop hop, long within);
+    /** Sends a hop, with no time-out but the client's. */
+    void send(Hop hop);
 
     void callOff(Hop hop);
 
--- a/src/main/java/tillerlink/wirehost/Instance.java
+++ b/src/main/java/tillerlink/wirehost/Instance.java
@@ -184,10 +184,10 @@
     }
 
     @Override
-    public void send(Hop hop, long within) {
+    public void send(Hop hop) {
         write("Try", () -> {
             writeTag(hop.submission.tag);
-            actions.writeNumber(Units.toMicros(within));
+            actions.writeNumber(0);
             writeTag(hop.engine.tag);
         });
     }
