--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -81,14 +81,12 @@
     private final int gateways;
     private final boolean mayCallOff;
     private final boolean mayProbe;
-    private final int mostHops;
     private final long tick;
     private final long settleTime;
     /** Threads of one query of each track. */
     private final int oneOfEach;
     private final long leastSoftLimit;
     private final long mostSoftLimit;
-    private final long noteEvery;
     private final long fallSpan;
     private final long warmWithin;
     private final List<String> reportFields;
@@ -105,10 +103,8 @@
         gateways = (int) Math.max(1, settings.number("instances", 1));
         mayCallOff = settings.flag("caps.may_cancel");
         mayProbe = settings.flag("caps.may_probe");
-        mostHops = (int) settings.number("caps.max_attempts", 1);
         tick = settings.number("tick", 1);
         settleTime = settings.number("guarantees.settle_after_doubt", 0) + tick;
-        noteEvery = settings.number("family_info.tells_every", 0);
         fallSpan = settings.number("guarantees.fall", 0);
         warmWithin = settings.number("guarantees.warm_within", 0);
         reportFields = settings.list("report.fields").stream().map(String::valueOf).toList();
@@ -313,8 +309,7 @@
             followWanted = false;
             orders.follow();
         }
-        for (int i = 0; i < changed.size(); i++) {
-            Submission s = changed.get(i);
+        for (Submission s : changed) {
             s.changed = false;
             if (s.ending != null && !s.told) {
                 s.told = true;
@@ -329,8 +324,7 @@
                 s.grantTold = s.grant;
                 orders.terms(s, s.rank, s.grant);
             }
-            for (int h = 0; h < s.hops.size(); h++) {
-                Hop hop = s.hops.get(h);
+            for (Hop hop : s.hops) {
                 if (!hop.sent) {
                     hop.sent = true;
                     orders.send(hop);
@@ -407,9 +401,13 @@
         fresh.clear();
     }
 
-    /** Held, and no longer able to be answered within its soft limit. */
+    /**
+     * Held, and no longer able to be answered within its soft limit. Guards against clients that come with
+     * little time: while all are bounded, what they leave before it can end is not even sent once.
+     */
     private boolean hopeless(long now, Submission s) {
-        return now > s.arrivedAt && now >= hopelessAt(now, s);
+        return now >= hopelessAt(now, s)
+                && (now > s.arrivedAt || crowded && now + usual(now, s) >= lastMoment(s));
     }
 
     private long hopelessAt(long now, Submission s) {
@@ -614,10 +612,8 @@
         if (within || !crowded && !pressed) {
             return Room.BOUND;
         }
-        if (own > 0 || threads + width > Math.max(ALL_CLASSES * bound, pressed ? width : oneOfEach)) {
-            return Room.NONE;
-        }
-        return pressed ? Room.LAST : Room.ONE;
+        double most = Math.max(ALL_CLASSES * bound, pressed ? width : oneOfEach);
+        return own > 0 || threads + width > most ? Room.NONE : pressed ? Room.LAST : Room.ONE;
     }
 
     /**
@@ -631,9 +627,9 @@
     }
 
     /**
-     * Sums up the ready engines. Pressure or doubt at a quarter of them bounds all. Guards against a chain of
-     * falls: what these may not have would all go to the next that shows nothing yet. It may hurt while the
-     * rest are idle.
+     * Sums up the ready engines. Pressure or doubt at a quarter of them, or a full pool, bounds all. Guards
+     * against a chain of falls: what these may not have would all go to the next that shows nothing yet. It
+     * may hurt while the rest are idle.
      */
     private void survey(long now) {
         int ready = 0;
@@ -641,7 +637,7 @@
         int pressed = 0;
         int heard = 0;
         double paces = 0;
-        double busy = 0;
+        usualBusy = 0;
         Arrays.fill(poolBounds, 0);
         Arrays.fill(poolThreads, 0);
         for (Engine engine : engines) {
@@ -659,13 +655,13 @@
             sound += doubt ? 0 : 1;
             paces += doubt ? 0 : engine.pace.at(now);
             heard += recent(now, engine) ? 1 : 0;
-            busy += recent(now, engine) ? engine.reportedBusy : 0;
+            usualBusy += recent(now, engine) ? engine.reportedBusy : 0;
             poolBounds[under ? 1 : 0] += bound(engine);
             poolThreads[under ? 1 : 0] += threads(now, engine);
         }
         crowded = pressed >= CROWD * ready || spent(Room.ONE) || spent(Room.LAST);
         fleetPace = sound == 0 ? 1 : paces / sound;
-        usualBusy = heard == 0 ? 0 : busy / heard;
+        usualBusy /= Math.max(1, heard);
     }
 
     /**
@@ -775,7 +771,6 @@
     // ---- hops ----
 
     private void place(long now, Submission s, Engine engine) {
-        boolean trial = doubtful(now, engine);
         double nominal = work(now, s) / s.track.terms.width();
         long expected = (long) (nominal * s.track.best() * Math.max(1, engine.pace.at(now)));
         s.rank = rank(now, s);
@@ -788,7 +783,7 @@
         if (!s.hops.isEmpty() && further != null) {
             further.add(now, 1);
         }
-        Hop hop = new Hop(s, engine, now, expected, nominal, trial);
+        Hop hop = new Hop(s, engine, now, expected, nominal, doubtful(now, engine));
         s.hops.add(hop);
         s.hopsOut++;
         engine.enter(hop, WARM_GROUPS);
@@ -813,8 +808,8 @@
     }
 
     private boolean worthAnother(long now, Submission s) {
-        return s.hops.size() < mostHops && budgetLeft(now) && now + usual(now, s) < tooLateAt(now, s)
-                && engines.stream().anyMatch(e -> e.standing == Engine.Standing.READY
+        return s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
+                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> e.standing == Engine.Standing.READY
                         && s.track.terms.allows(e) && repeatAllowed(now, s, e));
     }
 
@@ -850,11 +845,15 @@
         alarms.set(s, Math.min(tooLateAt(now, s), now + look));
     }
 
-    /** How long an engine may say nothing at all before a hop there is in doubt. */
+    /**
+     * How long an engine may say nothing before a hop there is in doubt. Where it sends notes, these tell:
+     * guards against calling off what was only underrated, where a gateway with little traffic hears nothing
+     * else of the engine. It may hurt short tracks on an engine that fell silent.
+     */
     private long quietLimit(Submission s, Hop hop) {
-        double limit = Math.max(QUIET * hop.expected, s.track.terms.softLimit() / 2.0);
-        double notes = noteEvery > 0 ? Math.max(QUIET_NOTES * noteEvery, leastSoftLimit / 2.0) : limit;
-        return (long) Math.min(limit, notes);
+        long noteEvery = settings.number("family_info.tells_every", 0);
+        return (long) (noteEvery > 0 ? Math.max(QUIET_NOTES * noteEvery, leastSoftLimit / 2.0)
+                : Math.max(QUIET * hop.expected, s.track.terms.softLimit() / 2.0));
     }
 
     private void suspect(long now, Hop hop) {
--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -205,6 +205,20 @@
         t.arrive("s3", 1, 100, 3, null).arrive("s4", 1, 100, 4, null).pass(3000).matches("stall");
     }
 
+    @Test
+    void whereNotesComeAnUnderratedHopIsNotCalledSilent() {
+        Trace t = new Trace().set("family_info.tells_every", 20000L).up("a0", "b0").arrive("s1", 0, 80).pass(900);
+        t.say("ten times its estimate, but a note is not due before 2 s").end("s1", FULFILLED);
+        t.matches("notes-due");
+    }
+
+    @Test
+    void underPressureNothingIsSentThatItsClientLeavesBefore() {
+        Trace t = new Trace().set("instances", 8L).up("a0", "b0").arrive("s1", 0, 300).end("s1", FULL);
+        t.say("pressure: of two clients that wait 400 ms, one has work for longer").patience(400);
+        t.arrive("s2", 0, 500).arrive("s3", 0, 100).pass(50).end("s1", FULFILLED).matches("little-time");
+    }
+
     @Test
     void badPlanIsSentAnew() {
         Trace t = new Trace().track("repeatable", "late_worth", 0.3).up("a0", "b0");
--- a/src/test/java/tillerlink/Trace.java
+++ b/src/test/java/tillerlink/Trace.java
@@ -30,6 +30,7 @@
     private final StringBuilder printed = new StringBuilder();
     private Policy policy;
     private long now = START;
+    private long patience = 50000;
     private long wakeAt = Long.MAX_VALUE;
 
     /** Two gateways, 8-core engines, one pure track of width 1 unless changed; times are tenths. */
@@ -76,6 +77,12 @@
         return settle();
     }
 
+    /** How long clients wait from now on. */
+    Trace patience(long ms) {
+        patience = ms * TENTHS;
+        return this;
+    }
+
     Trace listFails() {
         policy.listFailed(now);
         return settle();
@@ -87,7 +94,7 @@
 
     Trace arrive(String id, int track, double workMs, int tableGroup, String key) {
         KeyLine line = key == null ? null : lines.computeIfAbsent(key, k -> new KeyLine());
-        Submission s = new Submission(id, track, tableGroup, false, now, now + 50000, workMs * TENTHS, 0, line);
+        Submission s = new Submission(id, track, tableGroup, false, now, now + patience, workMs * TENTHS, 0, line);
         submissions.put(id, s);
         policy.arrived(now, s);
         return settle();
