--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -38,6 +38,7 @@
     private static final double ENOUGH = 6; // hops a pace needs before it can be the best seen
     private static final double PACE_CAP = 3; // a hop's pace counts as at most this, in times of the best
     private static final int WARM_GROUPS = 4;
+    private static final double LEAST_SPARE = 0.1; // what bound tracks leave of an engine at the least
     private static final double SLOWER = 1.4; // this much slower than the fleet counts as fewer cores
     // Health.
     private static final double DOUBT_LEAST = 0.7;
@@ -66,7 +67,6 @@
     private final List<Engine> candidates = new ArrayList<>();
     private final List<Submission> changed = new ArrayList<>();
     private final List<Submission> fresh = new ArrayList<>();
-    private final List<Engine> probesWanted = new ArrayList<>();
     private final Alarms alarms = new Alarms();
     private long armedFor = Long.MAX_VALUE;
     private boolean followWanted;
@@ -76,11 +76,12 @@
     private boolean crowded;
     private double fleetPace = 1;
     private double usualBusy;
+    private double allCores;
+    private double allWork;
     private long followAgainAt = Long.MAX_VALUE;
 
     private final int gateways;
     private final boolean mayCallOff;
-    private final boolean mayProbe;
     private final long tick;
     private final long settleTime;
     /** Threads of one query of each track. */
@@ -93,7 +94,6 @@
     private final SlidingSum taken;
     private final SlidingSum further;
     private final DecayingSum payoffSeen;
-    private final DecayingSum workSeen;
 
     public Policy(long now, long seed, Map<String, Object> values, Orders orders) {
         this.orders = orders;
@@ -102,7 +102,6 @@
         startedAt = now;
         gateways = (int) Math.max(1, settings.number("instances", 1));
         mayCallOff = settings.flag("caps.may_cancel");
-        mayProbe = settings.flag("caps.may_probe");
         tick = settings.number("tick", 1);
         settleTime = settings.number("guarantees.settle_after_doubt", 0) + tick;
         fallSpan = settings.number("guarantees.fall", 0);
@@ -125,8 +124,8 @@
         long budgetSpan = settings.number("guarantees.budget_span", 0);
         taken = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
         further = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
-        payoffSeen = new DecayingSum(mostSoftLimit * 4.0);
-        workSeen = new DecayingSum(mostSoftLimit * 4.0);
+        payoffSeen = new DecayingSum(mostSoftLimit * 16.0);
+        tracks.forEach(track -> track.workSeen = new DecayingSum(mostSoftLimit * 16.0));
         followWanted = settings.text("discovery").equals("ask");
     }
 
@@ -203,7 +202,7 @@
             taken.add(now, 1);
         }
         payoffSeen.add(now, s.track.terms.payoff());
-        workSeen.add(now, work(now, s));
+        s.track.workSeen.add(now, work(now, s));
         if (s.ordered()) {
             s.line.members.addLast(s);
             alarms.set(s, tooLateAt(now, s));
@@ -270,18 +269,6 @@
         }
     }
 
-    @Override
-    public void probed(long now, Engine engine, boolean wentWell, double[] report) {
-        engine.probeOut = false;
-        if (wentWell) {
-            engine.heardAt = now;
-            succeed(now, engine, true);
-            read(now, engine, report);
-        } else {
-            engine.failures.add(now, 1);
-        }
-    }
-
     @Override
     public void woken(long now) {
         armedFor = Long.MAX_VALUE;
@@ -298,7 +285,6 @@
         }
         survey(now);
         pump(now);
-        wantProbes(now);
         emit(now);
     }
 
@@ -336,8 +322,6 @@
             }
         }
         changed.clear();
-        probesWanted.forEach(orders::probe);
-        probesWanted.clear();
         long next = Math.min(alarms.next(), followAgainAt);
         if (next < armedFor) {
             armedFor = Math.max(next, now + 1);
@@ -533,12 +517,13 @@
         double cores = 0;
         double queries = 1;
         for (Engine engine : candidates) {
-            double own = effectiveCores(now, engine);
+            double own = effectiveCores(now, engine) * spare(now, engine, s.track);
+            engine.spareCores = own;
             engine.classLoad = engine.outByTrack[s.trackIndex] / own
                     + (recent(now, engine) ? engine.reportedQueries / cores(engine) : 0);
             // Guards against a jammed engine that answers nothing: after a while it would look idle.
-            engine.load = engine.threadsOut / own + (recent(now, engine) ? engine.reportedBusy
-                    : Math.max(usualBusy, engine.reportedBusy));
+            engine.load = (engine.threadsOut + s.track.terms.width()) / own
+                    + (recent(now, engine) ? engine.reportedBusy : Math.max(usualBusy, engine.reportedBusy));
             cores += own;
             queries += engine.classLoad * own;
         }
@@ -554,7 +539,7 @@
             // hot group would heap its long queries there. Then the least load, with a chance draw by cores:
             // guards against many gateways that know little and would choose alike. It costs crossings.
             boolean warm = engine.groups.contains(s.tableGroup) && engine.load <= usualLoad + 1e-9;
-            double chance = -Math.log(1 - random.nextDouble()) / cores(engine);
+            double chance = -Math.log(1 - random.nextDouble()) / engine.spareCores;
             double rating = (warm ? 0 : 1000) + engine.load + chance;
             if (rating < bestRating) {
                 bestRating = rating;
@@ -578,6 +563,21 @@
         return cores(engine) * warmth(now, engine) / (slower > SLOWER ? slower : 1);
     }
 
+    /**
+     * The share of an engine that the other tracks bound to a part of the fleet leave, by the work seen of
+     * each. Guards against that part being filled twice: counts of one class do not show it, and where a
+     * gateway's counts are mostly zero nothing does. It may hurt while estimates are far off by track.
+     */
+    private double spare(long now, Engine engine, Track track) {
+        double bound = 0;
+        for (Track other : tracks) {
+            if (other != track && other.openCores < allCores && other.terms.allows(engine)) {
+                bound += other.workSeen.at(now) / other.openCores;
+            }
+        }
+        return Math.max(LEAST_SPARE, 1 - bound * allCores / Math.max(1, allWork));
+    }
+
     // ---- the thread bound ----
 
     /**
@@ -638,6 +638,12 @@
         int heard = 0;
         double paces = 0;
         usualBusy = 0;
+        allCores = 0;
+        allWork = 0;
+        for (Track track : tracks) {
+            allWork += track.workSeen.at(now);
+            track.openCores = 0;
+        }
         Arrays.fill(poolBounds, 0);
         Arrays.fill(poolThreads, 0);
         for (Engine engine : engines) {
@@ -649,6 +655,10 @@
                 cutBound(now, engine);
             }
             ready++;
+            allCores += cores(engine);
+            for (Track track : tracks) {
+                track.openCores += track.terms.allows(engine) ? cores(engine) : 0;
+            }
             boolean under = now < engine.pressedUntil;
             boolean doubt = doubtful(now, engine);
             pressed += under || doubt ? 1 : 0;
@@ -793,7 +803,7 @@
     }
 
     private int rank(long now, Submission s) {
-        double usual = payoffSeen.at(now) / Math.max(1, workSeen.at(now));
+        double usual = payoffSeen.at(now) / Math.max(1, allWork);
         double dense = s.track.terms.payoff() / Math.max(1, work(now, s)) / usual;
         return dense >= 4 ? 3 : dense >= 1 ? 2 : dense >= 0.25 ? 1 : 0;
     }
@@ -809,7 +819,8 @@
 
     private boolean worthAnother(long now, Submission s) {
         return s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
-                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> e.standing == Engine.Standing.READY
+                && now + usual(now, s) < tooLateAt(now, s)
+                && engines.stream().anyMatch(e -> e.standing == Engine.Standing.READY
                         && s.track.terms.allows(e) && repeatAllowed(now, s, e));
     }
 
@@ -836,10 +847,6 @@
         if (quiet >= quietLimit(s, hop)) {
             suspect(now, hop);
         }
-        if (now > softEnd(now, s) && s.rank > 0) {
-            s.rank = 0;
-            change(s);
-        }
         long look = hop.wantedOff ? leastSoftLimit
                 : Math.max(quietLimit(s, hop) - Math.max(0, quiet), leastSoftLimit / 4);
         alarms.set(s, Math.min(tooLateAt(now, s), now + look));
@@ -976,18 +983,6 @@
         return failed > DOUBT_LEAST && failed > DOUBT_RATIO * engine.successes.at(now);
     }
 
-    /** Where probes are allowed, a doubtful engine with no trial out gets one now and then. */
-    private void wantProbes(long now) {
-        for (Engine engine : engines) {
-            if (mayProbe && engine.standing == Engine.Standing.READY && doubtful(now, engine)
-                    && engine.trialsOut == 0 && !engine.probeOut && now > engine.probedAt + mostSoftLimit) {
-                engine.probeOut = true;
-                engine.probedAt = now;
-                probesWanted.add(engine);
-            }
-        }
-    }
-
     private static double work(long now, Submission s) {
         return s.estimate > 0 ? s.estimate * s.track.bias.at(now) : s.track.work.at(now);
     }
--- a/src/main/java/tillerlink/model/Engine.java
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -44,8 +44,8 @@
     /** Queries of the class in hand a core, and threads of all a core, as last weighed. */
     public double classLoad;
     public double load;
-    public long probedAt = Long.MIN_VALUE;
-    public boolean probeOut;
+    /** Cores that it seems to have for the class last weighed. */
+    public double spareCores;
 
     public Engine(Object tag) {
         this.tag = tag;
--- a/src/main/java/tillerlink/model/Track.java
+++ b/src/main/java/tillerlink/model/Track.java
@@ -17,6 +17,10 @@
     /** Time taken over the time alone. */
     public final DecayingMean pace;
     public double bestPace;
+    /** Work asked for of late. */
+    public DecayingSum workSeen;
+    /** Cores of the ready engines open to it, as last summed up. */
+    public double openCores;
 
     public Track(int index, TrackTerms terms, DecayingMean bias, DecayingMean memoryBias, DecayingMean work,
                  DecayingMean pace) {
--- a/src/main/java/tillerlink/port/Orders.java
+++ b/src/main/java/tillerlink/port/Orders.java
@@ -24,8 +24,6 @@
 
     void wake(long at);
 
-    void probe(Engine engine);
-
     /** Asks to be told of changes to the engine list from now on. */
     void follow();
 
--- a/src/main/java/tillerlink/port/Steering.java
+++ b/src/main/java/tillerlink/port/Steering.java
@@ -41,8 +41,6 @@
     /** The client went; nothing is owed any more. */
     void left(long now, Submission submission);
 
-    void probed(long now, Engine engine, boolean wentWell, double[] report);
-
     /** A time asked for by {@link Orders#wake} has come. */
     void woken(long now);
 
--- a/src/main/java/tillerlink/wirehost/Instance.java
+++ b/src/main/java/tillerlink/wirehost/Instance.java
@@ -57,13 +57,7 @@
             case "Reply" -> ended(now, event);
             case "Expired" -> left(now, event.text(2, "tid"));
             case "Timer" -> steering.woken(now);
-            case "Pong" -> {
-                Engine engine = engines.get(event.text(4, "engine"));
-                if (engine != null) {
-                    steering.probed(now, engine, event.text(3, "how").equals("completed"), event.report(5));
-                }
-            }
-            case "Memo" -> { }
+            case "Memo", "Pong" -> { }
             default -> {
                 return false;
             }
@@ -223,11 +217,6 @@
         });
     }
 
-    @Override
-    public void probe(Engine engine) {
-        write("HealthCheck", () -> writeTag(engine.tag));
-    }
-
     @Override
     public void follow() {
         write("KeepInformed", () -> actions.writeBoolean(true));
--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -219,6 +219,17 @@
         t.arrive("s2", 0, 500).arrive("s3", 0, 100).pass(50).end("s1", FULFILLED).matches("little-time");
     }
 
+    @Test
+    void enginesThatATrackIsBoundToAreLeftToIt() {
+        Trace t = new Trace().track("repeatable", "models_allowed", List.of(0)).up("a0", "b0", "big0");
+        t.arrive("r1", 1, 900).arrive("r2", 1, 900).pass(900).end("r1", FULFILLED).end("r2", FULFILLED);
+        t.say("the bound track takes most of a0 and b0: others count them with the cores that it leaves");
+        for (int i = 1; i <= 6; i++) {
+            t.arrive("s" + i, 0, 300, i, null);
+        }
+        t.matches("bound-kind");
+    }
+
     @Test
     void badPlanIsSentAnew() {
         Trace t = new Trace().track("repeatable", "late_worth", 0.3).up("a0", "b0");
--- a/src/test/java/tillerlink/Trace.java
+++ b/src/test/java/tillerlink/Trace.java
@@ -184,11 +184,6 @@
         wakeAt = Math.min(wakeAt, at);
     }
 
-    @Override
-    public void probe(Engine engine) {
-        print("probe " + engine.tag);
-    }
-
     @Override
     public void follow() {
         print("follow the list");
