--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -50,6 +50,7 @@
     private static final double QUIET_NOTES = 1.3; // silence of this many periods of notes is suspicious
     // Bad plans.
     private static final double BAD_PLAN = 4; // a hop projected at this many times the usual has a bad plan
+    private static final double UNKNOWN = 2; // times the usual while too little of a track was seen
     private static final double LEAST_SHARE = 0.005;
     // Cold engines.
     private static final double COLD_USE = 0.35; // share of the stated limit for all gateways together
@@ -879,13 +880,17 @@
     }
 
     /**
-     * Guards against bad plans: a hop that its notes project far beyond the usual is sent anew. It should
-     * hold against a hop stuck alone on a sound engine too; it may hurt where estimates are far too low.
+     * Guards against bad plans: a hop that its notes project far beyond the usual is sent anew, and against a
+     * track underrated as a whole: more is asked until it is known, then its own pace counts. It should hold
+     * against a hop stuck alone on a sound engine too; it may hurt where single estimates are far too low.
      */
     private void judgeProgress(long now, Hop hop) {
         long age = now - hop.sentAt;
         double projected = age / Math.max(LEAST_SHARE, hop.share);
-        double usual = hop.nominal * hop.submission.track.best() * Math.max(1, hop.engine.pace.at(now));
+        Track track = hop.submission.track;
+        double known = track.bestPace > 0 ? 1 : UNKNOWN;
+        double usual = known * hop.nominal
+                * Math.max(track.pace.at(now), track.best() * Math.max(1, hop.engine.pace.at(now)));
         double pace = projected / hop.nominal / hop.submission.track.best();
         hop.engine.pace.add(now, Math.min(PACE_CAP, pace), 0.5);
         adjustBound(now, hop.engine);
--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -219,6 +219,14 @@
         t.arrive("s2", 0, 500).arrive("s3", 0, 100).pass(50).end("s1", FULFILLED).matches("little-time");
     }
 
+    @Test
+    void ofATrackNotYetKnownMoreIsAskedOfABadPlan() {
+        Trace t = new Trace().up("a0", "b0").arrive("s1", 0, 200).pass(300).note("s1", 0.25);
+        t.say("projected at six times its estimate: not yet");
+        t.arrive("s2", 0, 200).pass(300).note("s2", 0.1).say("fifteen times: sent anew").end("s2", CALLED_OFF);
+        t.matches("plan-unknown");
+    }
+
     @Test
     void enginesThatATrackIsBoundToAreLeftToIt() {
         Trace t = new Trace().track("repeatable", "models_allowed", List.of(0)).up("a0", "b0", "big0");
