--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -219,6 +219,17 @@
         t.arrive("s2", 0, 500).arrive("s3", 0, 100).pass(50).end("s1", FULFILLED).matches("little-time");
     }
 
+    @Test
+    void anEngineNotHeardForLongIsNotIdle() {
+        Trace t = new Trace().set("report.fields", List.of("cpu_share")).up("a0", "b0");
+        t.arrive("s1", 0, 100, 1, null).arrive("s2", 0, 100, 2, null).end("s1", FULFILLED, 0.9);
+        t.end("s2", FULFILLED, 0.4).say("one said 90% busy, the other 40%, and goes on saying so").pass(900);
+        for (int i = 3; i <= 7; i++) {
+            t.arrive("s" + i, 0, 100, i, null).pass(100).end("s" + i, FULFILLED, 0.4);
+        }
+        t.matches("unheard");
+    }
+
     @Test
     void ofATrackNotYetKnownMoreIsAskedOfABadPlan() {
         Trace t = new Trace().up("a0", "b0").arrive("s1", 0, 200).pass(300).note("s1", 0.25);
