--- a/src/test/java/tillerlink/PolicyTest.java
+++ b/src/test/java/tillerlink/PolicyTest.java
@@ -230,6 +230,13 @@
         t.matches("unheard");
     }
 
+    @Test
+    void afterAStallOutcomesCountFirstAndLateOnesAreAnsweredOnce() {
+        Trace t = new Trace().up("a0", "b0").arrive("s1", 0, 100, 1, null).arrive("s2", 0, 100, 2, null).stall(900);
+        t.say("nothing could be heard for 900 ms: s1's end comes before any age is judged").end("s1", FULFILLED);
+        t.arrive("s3", 0, 100, 3, null).stall(1600).arrive("s4", 0, 100, 4, null).pass(100).matches("stood-still");
+    }
+
     @Test
     void ofATrackNotYetKnownMoreIsAskedOfABadPlan() {
         Trace t = new Trace().up("a0", "b0").arrive("s1", 0, 200).pass(300).note("s1", 0.25);
--- a/src/test/java/tillerlink/Trace.java
+++ b/src/test/java/tillerlink/Trace.java
@@ -129,6 +129,12 @@
         return this;
     }
 
+    /** The gateway stands still: time passes and nothing wakes the module. */
+    Trace stall(long ms) {
+        now += ms * TENTHS;
+        return this;
+    }
+
     Trace say(String comment) {
         printed.append("# ").append(comment).append('\n');
         return this;
