Let one guard say where a submission may go; drop what probes and the own zone left behind

`allowed` and `worthAnother` each spelt out ready, placement and repeat; `open` says it for both, and the room of a cold engine is asked where an engine is chosen. Unused imports and a test setting that nothing reads go.

--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -71,6 +71,7 @@
     private final Alarms alarms = new Alarms();
     private long armedFor = Long.MAX_VALUE;
     private boolean followWanted;
+    private long followAgainAt = Long.MAX_VALUE;
     /** What the last survey found; of the pools, the second is that of the engines under pressure. */
     private final double[] poolBounds = new double[2];
     private final double[] poolThreads = new double[2];
@@ -79,7 +80,6 @@
     private double usualBusy;
     private double allCores;
     private double allWork;
-    private long followAgainAt = Long.MAX_VALUE;
 
     private final int gateways;
     private final boolean mayCallOff;
@@ -470,7 +470,7 @@
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
-            if (!allowed(now, s, engine)) {
+            if (!open(now, s, engine) || !coldRoom(now, engine, work(now, s))) {
                 continue;
             }
             if (doubtful(now, engine)) {
@@ -719,10 +719,10 @@
 
     // ---- rule guards ----
 
-    /** Placement, drains, repeats and cold engines: where a submission may go at all. */
-    private boolean allowed(long now, Submission s, Engine engine) {
+    /** Drains, placement and repeats: where a submission may go at all, now or once an engine is warm. */
+    private boolean open(long now, Submission s, Engine engine) {
         return engine.standing == Engine.Standing.READY && s.track.terms.allows(engine)
-                && repeatAllowed(now, s, engine) && coldRoom(now, engine, work(now, s));
+                && repeatAllowed(now, s, engine);
     }
 
     private boolean repeatAllowed(long now, Submission s, Engine engine) {
@@ -821,8 +821,7 @@
     private boolean worthAnother(long now, Submission s) {
         return s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
                 && now + usual(now, s) < tooLateAt(now, s)
-                && engines.stream().anyMatch(e -> e.standing == Engine.Standing.READY
-                        && s.track.terms.allows(e) && repeatAllowed(now, s, e));
+                && engines.stream().anyMatch(e -> open(now, s, e));
     }
 
     /** What is due for a submission: its end, or a look at the hop that is out. */
--- a/src/main/java/tillerlink/port/Orders.java
+++ b/src/main/java/tillerlink/port/Orders.java
@@ -1,6 +1,5 @@
 package tillerlink.port;
 
-import tillerlink.model.Engine;
 import tillerlink.model.Hop;
 import tillerlink.model.Submission;
 
--- a/src/main/java/tillerlink/port/Steering.java
+++ b/src/main/java/tillerlink/port/Steering.java
@@ -1,7 +1,6 @@
 package tillerlink.port;
 
 import java.util.List;
-import tillerlink.model.Engine;
 import tillerlink.model.Hop;
 import tillerlink.model.Listed;
 import tillerlink.model.Note;
--- a/src/test/java/tillerlink/Trace.java
+++ b/src/test/java/tillerlink/Trace.java
@@ -35,7 +35,7 @@
 
     /** Two gateways, 8-core engines, one pure track of width 1 unless changed; times are tenths. */
     Trace() {
-        set("instances", 2L, "az", 0L, "tick", 50L, "caps.max_attempts", 4L, "caps.may_cancel", true,
+        set("instances", 2L, "tick", 50L, "caps.max_attempts", 4L, "caps.may_cancel", true,
                 "caps.retry_after", true, "caps.max_retry_after", 5000L, "guarantees.drain_grace", 5000L,
                 "guarantees.fall_multiple", 2.5, "guarantees.fall", 15000L, "guarantees.start_capacity", 0.3,
                 "guarantees.warm_within", 100000L, "family_info.kind_cores", List.of(8, 16), "profiles", 0L);
