--- a/src/main/java/tillerlink/Main.java
+++ b/src/main/java/tillerlink/Main.java
@@ -1,10 +1,11 @@
 package tillerlink;
 
 import java.io.IOException;
+import tillerlink.net.life.Node;
 import tillerlink.wirehost.MalformedWireException;
 import tillerlink.wirehost.WireHost;
 
-/** The command line: one subcommand, {@code wirehost}. */
+/** The command line: one subcommand, {@code serve} or {@code wirehost}. */
 public final class Main {
     private static final int OK = 0;
     private static final int FAULT = 1;
@@ -18,20 +19,25 @@
     }
 
     private static int run(String[] args) {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar tillerlink.jar wirehost");
-            System.err.println("  wirehost   read batches from standard input, answer each on standard output");
-            return USAGE;
-        }
         try {
-            new WireHost(Policy::new).serve(System.in, System.out);
+            switch (args.length == 1 ? args[0] : "") {
+                case "serve" -> new Node().serve(System.getenv(), Policy::new);
+                case "wirehost" -> new WireHost(Policy::new).serve(System.in, System.out);
+                default -> {
+                    System.err.println("usage: java -jar tillerlink.jar serve|wirehost");
+                    System.err.println("  serve      one gateway on sockets, as EDGE_CONFIG tells it");
+                    System.err.println("  wirehost   read batches from standard input, answer each on standard output");
+                    return USAGE;
+                }
+            }
             return OK;
         } catch (MalformedWireException e) {
             System.err.println("tillerlink: " + e.getMessage());
-            return FAULT;
         } catch (IOException e) {
-            System.err.println("tillerlink: cannot read or write the wire: " + e.getMessage());
-            return FAULT;
+            System.err.println("tillerlink: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+        } catch (InterruptedException e) {
+            System.err.println("tillerlink: interrupted");
         }
+        return FAULT;
     }
 }
--- /dev/null
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -0,0 +1,258 @@
+package tillerlink.net.io;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.core.session.IoSessionConfig;
+import org.apache.mina.transport.socket.nio.NioDatagramConnector;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import tillerlink.net.state.Break;
+import tillerlink.net.state.Driver;
+import tillerlink.net.state.Pipe;
+
+/**
+ * Reads and writes by Apache MINA. Its threads only post what came to the queue of the thread that owns the state;
+ * while that queue is full they wait, and so nothing more is read.
+ */
+public final class MinaDriver implements Driver {
+    private static final int READ_MOST = 8192;
+    private static final int DATAGRAM_MOST = 16_384;
+    private static final int BACKLOG = 256;
+    private static final String PIPE = "pipe";
+
+    private final BlockingQueue<Runnable> queue;
+    private final Consumer<byte[]> datagrams;
+    private final InetSocketAddress nameService;
+    private final NioSocketAcceptor acceptor;
+    private final NioSocketConnector connector;
+    private final NioDatagramConnector asker;
+    private final List<Runnable> pending = new ArrayList<>();
+    private volatile IoSession asking;
+    private boolean askerDialing;
+
+    public MinaDriver(BlockingQueue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
+                      Function<Pipe, Pipe.Owner> accepted) {
+        this.queue = queue;
+        this.nameService = nameService;
+        this.datagrams = datagrams;
+        SimpleIoProcessorPool<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+        acceptor = new NioSocketAcceptor(processor);
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.getSessionConfig().setTcpNoDelay(true);
+        bound(acceptor.getSessionConfig(), READ_MOST);
+        acceptor.setHandler(new Accepting(accepted));
+        connector = new NioSocketConnector(processor);
+        connector.getSessionConfig().setTcpNoDelay(true);
+        bound(connector.getSessionConfig(), READ_MOST);
+        connector.setHandler(new Posting());
+        asker = new NioDatagramConnector(processor);
+        bound(asker.getSessionConfig(), DATAGRAM_MOST);
+        asker.setHandler(new Asking());
+    }
+
+    private static void bound(IoSessionConfig config, int most) {
+        config.setMaxReadBufferSize(most);
+        config.setReadBufferSize(most);
+        config.setMinReadBufferSize(Math.min(2048, most));
+    }
+
+    public void listen(InetSocketAddress address) throws IOException {
+        acceptor.bind(address);
+    }
+
+    @Override
+    public Pipe dial(InetSocketAddress to, Pipe.Owner owner) {
+        MinaPipe pipe = new MinaPipe();
+        pipe.owner = owner;
+        pending.add(() -> {
+            ConnectFuture future = connector.connect(to, (session, connecting) -> session.setAttribute(PIPE, pipe));
+            pipe.future = future;
+            future.addListener(done -> {
+                if (future.getException() != null) {
+                    post(() -> pipe.owner.ended(Break.REFUSED));
+                }
+            });
+        });
+        return pipe;
+    }
+
+    @Override
+    public void ask(byte[] datagram) {
+        IoSession session = asking;
+        if (session != null && session.isConnected()) {
+            session.write(IoBuffer.wrap(datagram));
+        } else if (!askerDialing) {
+            askerDialing = true;
+            asker.connect(nameService).addListener(done -> {
+                ConnectFuture future = (ConnectFuture) done;
+                if (future.isConnected()) {
+                    asking = future.getSession();
+                    asking.write(IoBuffer.wrap(datagram));
+                }
+                post(() -> askerDialing = false);
+            });
+        }
+    }
+
+    @Override
+    public void flush() {
+        for (int i = 0; i < pending.size(); i++) {
+            pending.get(i).run();
+        }
+        pending.clear();
+    }
+
+    private void post(Runnable event) {
+        boolean interrupted = false;
+        while (true) {
+            try {
+                queue.put(event);
+                break;
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+        }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static byte[] taken(Object message) {
+        IoBuffer buffer = (IoBuffer) message;
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return bytes;
+    }
+
+    private final class MinaPipe implements Pipe {
+        private Owner owner;
+        private ConnectFuture future;
+        private volatile IoSession session;
+
+        @Override
+        public void write(byte[] bytes) {
+            pending.add(() -> session.write(IoBuffer.wrap(bytes)));
+        }
+
+        @Override
+        public void close() {
+            pending.add(() -> end(false));
+        }
+
+        @Override
+        public void drop() {
+            pending.add(() -> end(true));
+        }
+
+        @Override
+        public void hold(boolean held) {
+            if (held) {
+                session.suspendRead();
+            } else {
+                session.resumeRead();
+            }
+        }
+
+        private void end(boolean now) {
+            if (session != null) {
+                if (now) {
+                    session.closeNow();
+                } else {
+                    session.closeOnFlush();
+                }
+            } else if (future != null) {
+                future.cancel();
+                future.addListener(done -> {
+                    if (future.isConnected()) {
+                        future.getSession().closeNow();
+                    }
+                });
+            }
+        }
+    }
+
+    /** Posts what happens on a connection. */
+    private class Posting extends IoHandlerAdapter {
+        private static final String CAUSE = "cause";
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            MinaPipe pipe = pipe(session);
+            pipe.session = session;
+            post(() -> pipe.owner.opened());
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            MinaPipe pipe = pipe(session);
+            byte[] bytes = taken(message);
+            post(() -> pipe.owner.fed(bytes));
+        }
+
+        @Override
+        public void messageSent(IoSession session, Object message) {
+            MinaPipe pipe = pipe(session);
+            post(() -> pipe.owner.written());
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.setAttribute(CAUSE, cause);
+            session.closeNow();
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            MinaPipe pipe = pipe(session);
+            Break how = session.containsAttribute(CAUSE) ? Break.RESET : Break.CLOSED_BY_PEER;
+            post(() -> pipe.owner.ended(how));
+        }
+
+        MinaPipe pipe(IoSession session) {
+            return (MinaPipe) session.getAttribute(PIPE);
+        }
+    }
+
+    private final class Accepting extends Posting {
+        private final Function<Pipe, Pipe.Owner> accepted;
+
+        Accepting(Function<Pipe, Pipe.Owner> accepted) {
+            this.accepted = accepted;
+        }
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            MinaPipe pipe = new MinaPipe();
+            pipe.session = session;
+            session.setAttribute(PIPE, pipe);
+            post(() -> pipe.owner = accepted.apply(pipe));
+        }
+    }
+
+    private final class Asking extends IoHandlerAdapter {
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            byte[] bytes = taken(message);
+            post(() -> datagrams.accept(bytes));
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            // A lost question is asked again; a session that can't go on is replaced by the next question.
+            session.closeNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -0,0 +1,80 @@
+package tillerlink.net.life;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tillerlink.net.io.MinaDriver;
+import tillerlink.net.state.Gateway;
+import tillerlink.net.state.Pipe;
+import tillerlink.net.wire.Assignment;
+import tillerlink.plain.Units;
+import tillerlink.port.SteeringFactory;
+
+/** One gateway process: start, turns, drain, stop. */
+public final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    /** After SIGTERM clients may go on coming for this long. */
+    private static final long STILL_COMING = 700 * Units.TENTHS_PER_MS;
+    /** Answers must be out by then: SIGKILL may come soon after. */
+    private static final long OUT_BY = 3400 * Units.TENTHS_PER_MS;
+    private static final long FLUSHED_AFTER = 50;
+
+    private final WallClock clock = new WallClock();
+    private final Turns turns = new Turns(clock);
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private Gateway gateway;
+    private long drainedFrom = Long.MAX_VALUE;
+    private boolean broken;
+
+    /** Serves until it is told to end. */
+    public void serve(Map<String, String> environment, SteeringFactory modules) throws IOException, InterruptedException {
+        String file = environment.get("EDGE_CONFIG");
+        if (file == null) {
+            throw new IOException("EDGE_CONFIG names no file");
+        }
+        Assignment assignment = Assignment.read(Path.of(file));
+        MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
+                (Pipe pipe) -> gateway.accepted(pipe));
+        gateway = new Gateway(assignment, modules, driver, clock.now());
+        driver.listen(assignment.listen());
+        LOG.info("{} listens on {}", assignment.name(), assignment.listen());
+        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+        try {
+            turns.run(gateway, this::done);
+        } finally {
+            ended.countDown();
+        }
+    }
+
+    private boolean done() {
+        long drained = clock.now() - drainedFrom;
+        if (drainedFrom == Long.MAX_VALUE || drained < STILL_COMING) {
+            return false;
+        }
+        if (drained >= OUT_BY && !broken) {
+            broken = true;
+            gateway.breakOffAll();
+            gateway.settle();
+        }
+        return gateway.allAnswered();
+    }
+
+    /** SIGTERM came: waits until the last answer is out. */
+    private void drain() {
+        LOG.info("draining");
+        turns.queue.offer(() -> {
+            drainedFrom = clock.now();
+            gateway.drain();
+        });
+        try {
+            ended.await();
+            Thread.sleep(FLUSHED_AFTER);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.info("drained");
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/life/Turns.java
@@ -0,0 +1,56 @@
+package tillerlink.net.life;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tillerlink.net.state.Gateway;
+import tillerlink.plain.Units;
+
+/** The one thread that owns module and state, and its queue. */
+final class Turns {
+    private static final Logger LOG = LoggerFactory.getLogger(Turns.class);
+    private static final int QUEUED_MOST = 1024;
+    private static final int EVENTS_MOST = 256;
+    private static final long STOOD_STILL = 100 * Units.TENTHS_PER_MS;
+    private static final long CATCH_UP = 20 * Units.TENTHS_PER_MS;
+
+    final BlockingQueue<Runnable> queue = new ArrayBlockingQueue<>(QUEUED_MOST);
+    private final WallClock clock;
+
+    Turns(WallClock clock) {
+        this.clock = clock;
+    }
+
+    /** Takes turns until told that it is done. */
+    void run(Gateway gateway, java.util.function.BooleanSupplier done) throws InterruptedException {
+        while (!done.getAsBoolean()) {
+            long dueAt = gateway.dueAt();
+            Runnable first = await(dueAt - clock.now());
+            // Guards against taking a pause of this machine for a silent engine: what engines said meanwhile may
+            // still be unread, and is heard before anything that is due.
+            if (first == null && clock.now() > dueAt + STOOD_STILL) {
+                first = await(CATCH_UP);
+            }
+            gateway.begin(clock.now());
+            int events = 0;
+            for (Runnable event = first; event != null; event = ++events < EVENTS_MOST ? queue.poll() : null) {
+                guarded(event);
+            }
+            guarded(gateway::settle);
+        }
+    }
+
+    private Runnable await(long tenths) throws InterruptedException {
+        return tenths <= 0 ? queue.poll() : queue.poll(tenths * WallClock.NANOS_PER_TENTH, TimeUnit.NANOSECONDS);
+    }
+
+    private static void guarded(Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            LOG.error("an internal fault; the gateway goes on", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/state/Call.java
@@ -0,0 +1,36 @@
+package tillerlink.net.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import tillerlink.model.Submission;
+import tillerlink.net.wire.Ask;
+import tillerlink.net.wire.HttpAnswer;
+
+/** A submission as its client sees it: where it waits, and its answer once there is one. */
+final class Call {
+    final Ask ask;
+    final Submission submission;
+    final List<Flight> flights = new ArrayList<>(1);
+    /** The client's connection that waits for the answer, or null. */
+    ClientLink waiting;
+    /** The final answer, kept for a while for a client whose connection broke. */
+    HttpAnswer answer;
+    boolean left;
+    long forgetAt;
+
+    Call(Ask ask, int trackIndex, long now) {
+        this.ask = ask;
+        submission = new Submission(this, trackIndex, ask.tableGroup(), ask.repeat(), now, now + ask.patience(),
+                ask.estimate(), ask.memory(), null);
+        forgetAt = submission.leavesAt;
+    }
+
+    /** Whether the client is owed nothing more. */
+    boolean settled() {
+        return answer != null || left;
+    }
+
+    long bytes() {
+        return ask.statement().length + (answer == null ? 0 : answer.body().length);
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -0,0 +1,235 @@
+package tillerlink.net.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tillerlink.model.Note;
+import tillerlink.model.Outcome;
+import tillerlink.net.wire.EngineAnswer;
+import tillerlink.net.wire.EngineCommand;
+import tillerlink.net.wire.EngineReader;
+
+/** A connection to an engine, which bears many hops. */
+final class EngineLink implements Pipe.Owner {
+    /** Hops that ended here lately: an answer to one of these crossed our word and is no fault. */
+    private static final int ENDED_KEPT = 512;
+    private static final int PAGES_MOST = 64;
+
+    final EngineSite site;
+    final long dialedAt;
+    private final Gateway gateway;
+    private final EngineReader reader = new EngineReader();
+    private final Map<String, Flight> flights = new LinkedHashMap<>();
+    private final Set<String> ended = new LinkedHashSet<>();
+    private final ArrayDeque<Flight> unsent = new ArrayDeque<>();
+    private Pipe pipe;
+    private boolean open;
+    private boolean over;
+    private long writes;
+    private long writesDone;
+    /** Takes no new hops; ends once those on it have. */
+    private boolean retired;
+    long heardAt;
+    long idleSince;
+
+    EngineLink(Gateway gateway, EngineSite site, long now) {
+        this.gateway = gateway;
+        this.site = site;
+        dialedAt = now;
+        heardAt = now;
+        idleSince = now;
+    }
+
+    void dial(Driver driver) {
+        pipe = driver.dial(site.address, this);
+    }
+
+    boolean takes(String id, int most) {
+        return !retired && !over && flights.size() < most && !flights.containsKey(id) && !ended.contains(id);
+    }
+
+    boolean open() {
+        return open;
+    }
+
+    boolean idle() {
+        return flights.isEmpty();
+    }
+
+    boolean retired() {
+        return retired;
+    }
+
+    void retire() {
+        retired = true;
+        if (flights.isEmpty()) {
+            end(Break.CLOSED_BY_US);
+        }
+    }
+
+    void send(Flight flight) {
+        flight.link = this;
+        flights.put(flight.call.ask.id(), flight);
+        if (open) {
+            want(flight);
+        } else {
+            unsent.add(flight);
+        }
+    }
+
+    private void want(Flight flight) {
+        long left = gateway.millisLeft(flight.call);
+        flight.place = write(EngineCommand.want(flight.call.ask.id(), flight.call.ask.track(), left,
+                flight.call.ask.key(), flight.call.ask.statement()));
+    }
+
+    private long write(byte[] bytes) {
+        pipe.write(bytes);
+        return ++writes;
+    }
+
+    /** Gives a hop up; what that proves. */
+    Outcome giveUp(Flight flight) {
+        boolean sent = !unsent.remove(flight);
+        if (sent && !over) {
+            write(EngineCommand.neverMind(flight.call.ask.id()));
+        }
+        return Break.CLOSED_BY_US.outcome(sent);
+    }
+
+    /** A hop is over: nothing more of it is expected here. */
+    void release(Flight flight) {
+        unsent.remove(flight);
+        if (flights.remove(flight.call.ask.id(), flight)) {
+            ended.add(flight.call.ask.id());
+            if (ended.size() > ENDED_KEPT) {
+                ended.remove(ended.iterator().next());
+            }
+        }
+        idleSince = gateway.now();
+        if (retired && flights.isEmpty()) {
+            end(Break.CLOSED_BY_US);
+        }
+    }
+
+    @Override
+    public void opened() {
+        if (over) {
+            return;
+        }
+        open = true;
+        heardAt = gateway.now();
+        while (!unsent.isEmpty()) {
+            want(unsent.poll());
+        }
+    }
+
+    @Override
+    public void written() {
+        writesDone++;
+    }
+
+    @Override
+    public void fed(byte[] bytes) {
+        if (over) {
+            return;
+        }
+        heardAt = gateway.now();
+        try {
+            reader.feed(bytes);
+            for (EngineAnswer answer = reader.next(); answer != null && !over; answer = reader.next()) {
+                take(answer);
+            }
+        } catch (IllegalArgumentException e) {
+            gateway.rarely("engine " + site.id + " said what can't be read: " + e.getMessage());
+            end(Break.GARBLED);
+        }
+    }
+
+    private void take(EngineAnswer answer) {
+        Flight flight = flights.get(answer.id());
+        if (flight == null) {
+            if (answer.word() != EngineAnswer.Word.YES && !ended.contains(answer.id())) {
+                throw new IllegalArgumentException("an answer to nothing asked");
+            }
+            return;
+        }
+        switch (answer.word()) {
+            case OK -> begin(flight, answer);
+            case BATCH -> {
+                if (!flight.take(answer.number(), answer.body())) {
+                    throw new IllegalArgumentException("a page out of turn");
+                }
+                finish(flight);
+            }
+            case REFUSED -> gateway.ended(flight, Outcome.FULL);
+            case ERROR -> gateway.ended(flight, Outcome.ERRED);
+            case STALE -> gateway.ended(flight, Outcome.NEVER_SENT);
+            case PROGRESS -> {
+                if (answer.about() != null) {
+                    gateway.noted(flight, note(answer.about()), answer.level());
+                }
+            }
+            default -> throw new IllegalArgumentException("a word that is no answer to a submission");
+        }
+    }
+
+    private static Note note(EngineAnswer.About about) {
+        return switch (about) {
+            case SHARE_DONE -> Note.PROGRESS;
+            case MEGABYTES_MISSING -> Note.SPILLS;
+            case PARKED -> Note.WAITS;
+        };
+    }
+
+    /** The first page is there: the others are asked for at once. */
+    private void begin(Flight flight, EngineAnswer answer) {
+        int pages = Math.max(1, answer.number());
+        if (flight.pages != null || pages > PAGES_MOST) {
+            throw new IllegalArgumentException("a second result, or one of " + pages + " pages");
+        }
+        flight.pages = new byte[pages][];
+        flight.pages[0] = answer.body();
+        flight.missing = pages - 1;
+        for (int page = 1; page < pages; page++) {
+            write(EngineCommand.turn(answer.id(), page));
+        }
+        finish(flight);
+    }
+
+    private void finish(Flight flight) {
+        if (flight.missing == 0) {
+            if (flight.pages.length > 1) {
+                write(EngineCommand.shut(flight.call.ask.id()));
+            }
+            gateway.ended(flight, Outcome.FULFILLED);
+        }
+    }
+
+    @Override
+    public void ended(Break how) {
+        if (!over) {
+            end(how);
+        }
+    }
+
+    /** Ends the connection; each hop on it ends as that means for it. */
+    void end(Break how) {
+        over = true;
+        site.links.remove(this);
+        gateway.linkEnded();
+        if (how == Break.CLOSED_BY_US) {
+            pipe.close();
+        } else {
+            pipe.drop();
+        }
+        List<Flight> all = new ArrayList<>(flights.values());
+        for (Flight flight : all) {
+            gateway.ended(flight, how.outcome(flight.place <= writesDone));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/state/EngineList.java
@@ -0,0 +1,64 @@
+package tillerlink.net.state;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import tillerlink.model.Engine;
+import tillerlink.model.Listed;
+import tillerlink.model.Named;
+import tillerlink.net.wire.EngineEntry;
+import tillerlink.net.wire.EngineNews;
+import tillerlink.plain.Units;
+
+/** The engines as last told. */
+final class EngineList {
+    private final Map<String, EngineSite> sites = new LinkedHashMap<>();
+    private final List<?> kinds;
+    private final List<?> zones;
+    private long index;
+
+    EngineList(Named terms) {
+        kinds = terms.list("models");
+        zones = terms.list("zones");
+    }
+
+    /** What is new in the news, or null if they are older than what is known. */
+    List<Listed> take(EngineNews news) {
+        if (news.index() <= index) {
+            return null;
+        }
+        index = news.index();
+        List<Listed> listed = new ArrayList<>(news.entries().size());
+        for (EngineEntry entry : news.entries()) {
+            EngineSite site = sites.computeIfAbsent(entry.id(), EngineSite::new);
+            site.at(entry);
+            listed.add(new Listed(site.engine, kinds.indexOf(entry.kind()), zones.indexOf(entry.zone()), entry.cell(),
+                    entry.weight(), entry.standing(),
+                    entry.startedMs() == 0 ? 0 : entry.startedMs() * Units.TENTHS_PER_MS));
+        }
+        return listed;
+    }
+
+    /** Closes what leads to engines that are gone, and forgets them. */
+    void sweep() {
+        for (Iterator<EngineSite> i = sites.values().iterator(); i.hasNext();) {
+            EngineSite site = i.next();
+            if (site.engine.standing == Engine.Standing.GONE) {
+                site.retireAll();
+                if (site.links.isEmpty() && site.engine.out.isEmpty()) {
+                    i.remove();
+                }
+            }
+        }
+    }
+
+    Iterable<EngineSite> all() {
+        return sites.values();
+    }
+
+    long index() {
+        return index;
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/state/Flight.java
@@ -0,0 +1,30 @@
+package tillerlink.net.state;
+
+import tillerlink.model.Hop;
+
+/** A hop on its way: the connection that bears it, and the pages of its result that have come. */
+final class Flight {
+    final Hop hop;
+    final Call call;
+    EngineLink link;
+    /** Its place among the writes of its connection; none of it has been written before that one is. */
+    long place = Long.MAX_VALUE;
+    byte[][] pages;
+    int missing;
+    boolean over;
+
+    Flight(Hop hop, Call call) {
+        this.hop = hop;
+        this.call = call;
+    }
+
+    /** Takes a page; false if it is none that was asked for. */
+    boolean take(int number, byte[] page) {
+        if (pages == null || number < 1 || number >= pages.length || pages[number] != null) {
+            return false;
+        }
+        pages[number] = page;
+        missing--;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -0,0 +1,95 @@
+package tillerlink.net.wire;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import tillerlink.model.Engine;
+import tillerlink.plain.Json;
+
+/** What a gateway is told at its start. */
+public record Assignment(String name, InetSocketAddress listen, InetSocketAddress resolver, long seed, int sockets,
+                         Map<String, Object> terms, List<EngineNews> known) {
+    private static final int HEX = 16;
+
+    /** @throws IOException if it can't be read or is not what it should be; the message says what */
+    public static Assignment read(Path file) throws IOException {
+        try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(file))) {
+            parser.nextToken();
+            return of(object(Json.value(parser), "the configuration"));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private static Assignment of(Map<String, Object> all) {
+        Map<String, Object> limits = object(all.getOrDefault("limits", Map.of()), "limits");
+        Map<String, Object> known = object(all.getOrDefault("known", Map.of()), "known");
+        List<EngineNews> news = new ArrayList<>();
+        for (Object update : list(known.getOrDefault("updates", List.of()), "known.updates")) {
+            news.add(news(object(update, "known.updates")));
+        }
+        return new Assignment(text(all, "name"), address(text(all, "listen")), address(text(all, "resolver")),
+                Long.parseUnsignedLong(text(all, "seed"), HEX), number(limits, "sockets", 1024).intValue(),
+                object(all.get("settings"), "settings"), news);
+    }
+
+    private static EngineNews news(Map<String, Object> update) {
+        Map<String, Object> told = object(update.get("endpoints"), "endpoints");
+        List<EngineEntry> entries = new ArrayList<>();
+        for (Object raw : list(told.get("endpoints"), "endpoints.endpoints")) {
+            Map<String, Object> one = object(raw, "an endpoint");
+            Engine.Standing standing = switch (text(one, "status")) {
+                case "SERVING" -> Engine.Standing.READY;
+                case "DRAINING" -> Engine.Standing.DRAINING;
+                default -> Engine.Standing.GONE;
+            };
+            String address = one.get("address") instanceof String text ? text : "0.0.0.0:0";
+            int colon = address.lastIndexOf(':');
+            entries.add(new EngineEntry(text(one, "name"), address.substring(0, colon),
+                    Integer.parseInt(address.substring(colon + 1)), String.valueOf(one.get("zone")),
+                    String.valueOf(one.get("type")), number(one, "group", 0).intValue(), standing,
+                    number(one, "weight", 1).doubleValue(), number(one, "since_ms", 0).longValue()));
+        }
+        return new EngineNews(number(update, "index", 0).longValue(), Boolean.TRUE.equals(told.get("snapshot")), entries);
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("not an address with a port: " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static String text(Map<String, Object> from, String name) {
+        if (from.get(name) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new IllegalArgumentException("'" + name + "' is missing or not a text");
+    }
+
+    private static Number number(Map<String, Object> from, String name, Number otherwise) {
+        return from.get(name) instanceof Number number ? number : otherwise;
+    }
+
+    private static List<?> list(Object raw, String what) {
+        if (raw instanceof List<?> list) {
+            return list;
+        }
+        throw new IllegalArgumentException("'" + what + "' is not a list");
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> object(Object raw, String what) {
+        if (raw instanceof Map<?, ?> map) {
+            return (Map<String, Object>) map;
+        }
+        throw new IllegalArgumentException("'" + what + "' is not an object");
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/wire/Bytes.java
@@ -0,0 +1,61 @@
+package tillerlink.net.wire;
+
+import java.util.Arrays;
+
+/** Bytes that were fed and not yet taken. */
+final class Bytes {
+    private byte[] kept = new byte[0];
+    private int from;
+    private int to;
+
+    void feed(byte[] more) {
+        if (from == to) {
+            kept = more;
+            from = 0;
+            to = more.length;
+            return;
+        }
+        byte[] joined = Arrays.copyOfRange(kept, from, to + more.length);
+        System.arraycopy(more, 0, joined, to - from, more.length);
+        to = joined.length;
+        from = 0;
+        kept = joined;
+    }
+
+    int size() {
+        return to - from;
+    }
+
+    byte at(int place) {
+        return kept[from + place];
+    }
+
+    /** Where a byte stands at or after a place, or -1. */
+    int find(byte wanted, int place) {
+        for (int i = from + place; i < to; i++) {
+            if (kept[i] == wanted) {
+                return i - from;
+            }
+        }
+        return -1;
+    }
+
+    byte[] take(int count) {
+        byte[] taken = Arrays.copyOfRange(kept, from, from + count);
+        skip(count);
+        return taken;
+    }
+
+    String text(int count) {
+        return new String(kept, from, count, java.nio.charset.StandardCharsets.ISO_8859_1);
+    }
+
+    void skip(int count) {
+        from += count;
+        if (from == to) {
+            kept = new byte[0];
+            from = 0;
+            to = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/wire/HttpAnswer.java
@@ -0,0 +1,62 @@
+package tillerlink.net.wire;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * An answer to a client's call.
+ *
+ * @param comeBack milliseconds to stay away, 0 for no advice
+ * @param last     the connection ends after it
+ */
+public record HttpAnswer(int status, byte[] body, long comeBack, boolean last) {
+    public static HttpAnswer text(int status, String body, boolean last) {
+        return new HttpAnswer(status, body.getBytes(StandardCharsets.UTF_8), 0, last);
+    }
+
+    public static HttpAnswer problem(int status, String problem, long comeBack) {
+        return new HttpAnswer(status, ("{\"problem\":\"" + problem + "\"}").getBytes(StandardCharsets.UTF_8), comeBack,
+                false);
+    }
+
+    public HttpAnswer ending() {
+        return new HttpAnswer(status, body, comeBack, true);
+    }
+
+    public byte[] encoded() {
+        StringBuilder head = new StringBuilder(160).append("HTTP/1.1 ").append(status).append(' ')
+                .append(reason()).append("\r\nContent-Type: application/json\r\nContent-Length: ").append(body.length);
+        if (comeBack > 0) {
+            head.append("\r\nX-Pushback-Ms: ").append(comeBack);
+        }
+        if (last) {
+            head.append("\r\nConnection: close");
+        }
+        byte[] start = head.append("\r\n\r\n").toString().getBytes(StandardCharsets.US_ASCII);
+        byte[] whole = java.util.Arrays.copyOf(start, start.length + body.length);
+        System.arraycopy(body, 0, whole, start.length, body.length);
+        return whole;
+    }
+
+    /** The word for a client that asks before it sends a body. */
+    public static byte[] goOn() {
+        return "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private String reason() {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
+            case 411 -> "Length Required";
+            case 413 -> "Content Too Large";
+            case 414 -> "URI Too Long";
+            case 431 -> "Request Header Fields Too Large";
+            case 503 -> "Service Unavailable";
+            case 505 -> "HTTP Version Not Supported";
+            default -> "Internal Server Error";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/tillerlink/net/wire/HttpItem.java
@@ -0,0 +1,5 @@
+package tillerlink.net.wire;
+
+/** What a client's bytes turn out to hold. */
+public sealed interface HttpItem permits HttpCall, HttpFault {
+}
--- a/src/main/java/tillerlink/wirehost/Json.java
+++ b/src/main/java/tillerlink/plain/Json.java
@@ -1,4 +1,4 @@
-package tillerlink.wirehost;
+package tillerlink.plain;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,12 +9,12 @@
 import java.util.Map;
 
 /** Plain values from Jackson's token stream. */
-final class Json {
+public final class Json {
     private Json() {
     }
 
     /** The value that begins at the parser's current token. */
-    static Object value(JsonParser parser) throws IOException {
+    public static Object value(JsonParser parser) throws IOException {
         return switch (parser.currentToken()) {
             case START_ARRAY -> array(parser);
             case START_OBJECT -> object(parser);
--- a/src/main/java/tillerlink/wirehost/PlainNames.java
+++ b/src/main/java/tillerlink/plain/PlainNames.java
@@ -1,4 +1,4 @@
-package tillerlink.wirehost;
+package tillerlink.plain;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,13 +9,13 @@
  * objects in a list under their place ({@code profiles.0.worth}), with the list's length under its own name.
  * A name that ends in {@code _us} loses that ending, and its value becomes tenths of a millisecond.
  */
-final class PlainNames {
+public final class PlainNames {
     private static final String MICROS_ENDING = "_us";
 
     private PlainNames() {
     }
 
-    static Map<String, Object> of(Map<String, Object> settings) {
+    public static Map<String, Object> of(Map<String, Object> settings) {
         Map<String, Object> plain = new LinkedHashMap<>();
         settings.forEach((name, value) -> put(plain, name, value));
         return plain;
--- a/src/main/java/tillerlink/wirehost/Instance.java
+++ b/src/main/java/tillerlink/wirehost/Instance.java
@@ -14,6 +14,8 @@
 import tillerlink.model.Note;
 import tillerlink.model.Outcome;
 import tillerlink.model.Submission;
+import tillerlink.plain.PlainNames;
+import tillerlink.plain.Units;
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
 import tillerlink.port.SteeringFactory;
--- a/src/main/java/tillerlink/wirehost/Row.java
+++ b/src/main/java/tillerlink/wirehost/Row.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import tillerlink.model.Engine;
+import tillerlink.plain.Units;
 
 /**
  * One entry of a numbered list; it belongs to the process, so it holds an id and no object of any gateway.
--- a/src/main/java/tillerlink/wirehost/WireHost.java
+++ b/src/main/java/tillerlink/wirehost/WireHost.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import tillerlink.plain.Json;
+import tillerlink.plain.Units;
 import tillerlink.port.SteeringFactory;
 
 /**
