Bound clients, unsent answers and silent connections; tell the counts every ten seconds

A client connection beyond the bound is closed at accept; the next call is read when the answer before is out, and what is not out counts against the bytes held; half a call or an unread answer ends the connection after 10 s; a connection silent since a hop was sent is asked by 'there' when that hop is given up, and takes no more hops if it does not say that it works within the connect time-out. DELETE frees a parked call. Drain waits until answers are fetched. A name that the settings do not know no longer indexes below the lists.

--- a/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -2,14 +2,18 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
@@ -43,12 +47,12 @@
     private boolean askerDialing;
 
     public MinaDriver(BlockingQueue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
-                      Function<Pipe, Pipe.Owner> accepted) {
+                      Function<Pipe, Pipe.Owner> accepted, int clientsMost) {
         this.queue = queue;
         this.nameService = nameService;
         this.datagrams = datagrams;
         SimpleIoProcessorPool<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-        acceptor = new NioSocketAcceptor(processor);
+        acceptor = new Bounded(processor, clientsMost);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.getSessionConfig().setTcpNoDelay(true);
@@ -226,6 +230,35 @@
         }
     }
 
+    /** Guards the descriptors: a connection beyond the bound is closed where it is accepted. */
+    private static final class Bounded extends NioSocketAcceptor {
+        private final AtomicInteger clients = new AtomicInteger();
+        private final int most;
+
+        Bounded(IoProcessor<NioSession> processor, int most) {
+            super(processor);
+            this.most = most;
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listening)
+                throws Exception {
+            if (clients.get() < most) {
+                NioSession session = super.accept(processor, listening);
+                if (session != null) {
+                    clients.incrementAndGet();
+                    session.getCloseFuture().addListener(closed -> clients.decrementAndGet());
+                }
+                return session;
+            }
+            SocketChannel beyond = listening.accept();
+            if (beyond != null) {
+                beyond.close();
+            }
+            return null;
+        }
+    }
+
     private final class Accepting extends Posting {
         private final Function<Pipe, Pipe.Owner> accepted;
 
--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -37,7 +37,7 @@
         }
         Assignment assignment = Assignment.read(Path.of(file));
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
-                (Pipe pipe) -> gateway.accepted(pipe));
+                (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now());
         driver.listen(assignment.listen());
         LOG.info("{} listens on {}", assignment.name(), assignment.listen());
@@ -59,7 +59,7 @@
             gateway.breakOffAll();
             gateway.settle();
         }
-        return gateway.allAnswered();
+        return gateway.allAnswered() || drained >= OUT_BY + FLUSHED_AFTER * Units.TENTHS_PER_MS;
     }
 
     /** SIGTERM came: waits until the last answer is out. */
--- a/src/main/java/tillerlink/net/life/Turns.java
+++ b/src/main/java/tillerlink/net/life/Turns.java
@@ -33,7 +33,7 @@
             if (first == null && clock.now() > dueAt + STOOD_STILL) {
                 first = await(CATCH_UP);
             }
-            gateway.begin(clock.now());
+            guarded(() -> gateway.begin(clock.now()));
             int events = 0;
             for (Runnable event = first; event != null; event = ++events < EVENTS_MOST ? queue.poll() : null) {
                 guarded(event);
--- a/src/main/java/tillerlink/net/state/Call.java
+++ b/src/main/java/tillerlink/net/state/Call.java
@@ -15,6 +15,7 @@
     ClientLink waiting;
     /** The final answer, kept for a while for a client whose connection broke. */
     HttpAnswer answer;
+    boolean handedOut;
     boolean left;
     long forgetAt;
 
@@ -29,8 +30,4 @@
     boolean settled() {
         return answer != null || left;
     }
-
-    long bytes() {
-        return ask.statement().length + (answer == null ? 0 : answer.body().length);
-    }
 }
--- a/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/src/main/java/tillerlink/net/state/ClientLink.java
@@ -1,10 +1,11 @@
 package tillerlink.net.state;
 
+import java.util.ArrayDeque;
 import tillerlink.net.wire.HttpAnswer;
 import tillerlink.net.wire.HttpItem;
 import tillerlink.net.wire.HttpReader;
 
-/** A client's connection: one call at a time. */
+/** A client's connection: one call at a time, and the next is read when the answer to the one before is out. */
 final class ClientLink implements Pipe.Owner {
     /** More than this beside a call in hand, and nothing further is read until that is answered. */
     private static final int PIPELINED_MOST = 16_384;
@@ -12,18 +13,22 @@
     private final Gateway gateway;
     private final Pipe pipe;
     private final HttpReader reader = new HttpReader();
+    /** Sizes of what was written and is not yet out. */
+    private final ArrayDeque<Integer> unsent = new ArrayDeque<>();
     private boolean inHand;
     private boolean lastCall;
     private boolean held;
     private boolean over;
     /** What it waits for, or null. */
     Call waitsFor;
-    long quietSince;
+    /** What it handed in by its latest call, or null. */
+    private Call handedIn;
+    private long quietSince;
 
-    ClientLink(Gateway gateway, Pipe pipe, long now) {
+    ClientLink(Gateway gateway, Pipe pipe) {
         this.gateway = gateway;
         this.pipe = pipe;
-        quietSince = now;
+        quietSince = gateway.now();
     }
 
     @Override
@@ -45,7 +50,14 @@
 
     @Override
     public void written() {
-        // A client that does not read is ended by its silence.
+        gateway.held(-unsent.poll());
+        if (unsent.isEmpty()) {
+            quietSince = gateway.now();
+            if (inHand && waitsFor == null) {
+                inHand = false;
+                read();
+            }
+        }
     }
 
     @Override
@@ -53,22 +65,26 @@
         over = true;
         if (waitsFor != null) {
             waitsFor.waiting = null;
-            waitsFor = null;
         }
+        if (handedIn != null && !unsent.isEmpty()) {
+            gateway.leave(handedIn);
+        }
+        unsent.forEach(size -> gateway.held(-size));
+        unsent.clear();
         gateway.forget(this);
     }
 
     private void read() {
-        while (!inHand && !over) {
+        if (!inHand && !over) {
             HttpItem item = reader.next();
             if (reader.wantsGoOn()) {
-                pipe.write(HttpAnswer.goOn());
+                write(HttpAnswer.goOn());
             }
-            if (item == null) {
-                break;
+            if (item != null) {
+                inHand = true;
+                handedIn = null;
+                gateway.called(this, item);
             }
-            inHand = true;
-            gateway.called(this, item);
         }
         boolean hold = inHand && reader.waiting() > PIPELINED_MOST;
         if (hold != held && !over) {
@@ -77,35 +93,54 @@
         }
     }
 
+    private void write(byte[] bytes) {
+        unsent.add(bytes.length);
+        gateway.held(bytes.length);
+        pipe.write(bytes);
+    }
+
+    /** The connection ends after the answer to the call in hand. */
     void lastCall() {
         lastCall = true;
     }
 
+    void handedIn(Call call) {
+        handedIn = call;
+    }
+
     void answer(HttpAnswer answer) {
         if (over) {
             return;
         }
-        quietSince = gateway.now();
-        inHand = false;
         waitsFor = null;
-        if (lastCall && !answer.last()) {
-            answer = answer.ending();
-        }
-        pipe.write(answer.encoded());
-        if (answer.last()) {
+        boolean last = lastCall || answer.last();
+        quietSince = gateway.now();
+        write((last ? answer.ending() : answer).encoded());
+        if (last) {
             over = true;
             pipe.close();
-        } else {
-            read();
         }
     }
 
-    boolean midway() {
-        return reader.midway() && !inHand;
+    boolean sending() {
+        return !unsent.isEmpty();
     }
 
-    boolean idle() {
-        return !inHand;
+    /**
+     * Guards against clients that come and then stall: with half a call or with an answer that they don't read for
+     * the one span, with nothing at all for the other. A call that waits for its answer may take its time.
+     */
+    void sweep(long stalledMost, long idleMost) {
+        long quiet = gateway.now() - quietSince;
+        if (sending() || over) {
+            if (quiet >= stalledMost) {
+                drop();
+            }
+        } else if (!inHand && reader.midway() && quiet >= stalledMost) {
+            answer(HttpAnswer.problem(408, "Timeout", 0).ending());
+        } else if (!inHand && quiet >= idleMost) {
+            drop();
+        }
     }
 
     /** Ends it with no word. */
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -18,10 +18,12 @@
     /** Hops that ended here lately: an answer to one of these crossed our word and is no fault. */
     private static final int ENDED_KEPT = 512;
     private static final int PAGES_MOST = 64;
+    private static final int SILENT_MOST = 4;
+    private static final String TAG = "0";
 
     final EngineSite site;
-    final long dialedAt;
     private final Gateway gateway;
+    private final long dialedAt;
     private final EngineReader reader = new EngineReader();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
     private final Set<String> ended = new LinkedHashSet<>();
@@ -33,8 +35,10 @@
     private long writesDone;
     /** Takes no new hops; ends once those on it have. */
     private boolean retired;
-    long heardAt;
-    long idleSince;
+    private long heardAt;
+    private long idleSince;
+    /** When it was asked whether it works and has not said anything since; 0 if it was not. */
+    private long askedAt;
 
     EngineLink(Gateway gateway, EngineSite site, long now) {
         this.gateway = gateway;
@@ -52,18 +56,6 @@
         return !retired && !over && flights.size() < most && !flights.containsKey(id) && !ended.contains(id);
     }
 
-    boolean open() {
-        return open;
-    }
-
-    boolean idle() {
-        return flights.isEmpty();
-    }
-
-    boolean retired() {
-        return retired;
-    }
-
     void retire() {
         retired = true;
         if (flights.isEmpty()) {
@@ -71,6 +63,31 @@
         }
     }
 
+    /**
+     * Ends what did not come up or lies idle, sooner than the engine would: a hop must not meet its close. Guards
+     * also against a machine that vanished, behind which connections stay open and silent: one that does not say that
+     * it works takes no more hops, and a new one shows whether the machine is there. A few for an engine, no more:
+     * a machine that only stands still would draw them all.
+     */
+    void sweep(long connectMost, long idleMost) {
+        long now = gateway.now();
+        if (!open && now >= dialedAt + connectMost) {
+            end(Break.NEVER_UP);
+        } else if (flights.isEmpty() && now >= idleSince + idleMost) {
+            retire();
+        } else if (askedAt > 0 && now >= askedAt + connectMost && site.links.size() < SILENT_MOST) {
+            retire();
+        }
+    }
+
+    /** Asks whether the connection works, if nothing was heard on it for a while. */
+    private void ask(long since) {
+        if (open && !over && askedAt == 0 && heardAt < since) {
+            askedAt = gateway.now();
+            write(EngineCommand.there(TAG));
+        }
+    }
+
     void send(Flight flight) {
         flight.link = this;
         flights.put(flight.call.ask.id(), flight);
@@ -97,6 +114,7 @@
         boolean sent = !unsent.remove(flight);
         if (sent && !over) {
             write(EngineCommand.neverMind(flight.call.ask.id()));
+            ask(flight.hop.sentAt);
         }
         return Break.CLOSED_BY_US.outcome(sent);
     }
@@ -139,6 +157,7 @@
             return;
         }
         heardAt = gateway.now();
+        askedAt = 0;
         try {
             reader.feed(bytes);
             for (EngineAnswer answer = reader.next(); answer != null && !over; answer = reader.next()) {
--- a/src/main/java/tillerlink/net/state/EngineList.java
+++ b/src/main/java/tillerlink/net/state/EngineList.java
@@ -34,13 +34,19 @@
         for (EngineEntry entry : news.entries()) {
             EngineSite site = sites.computeIfAbsent(entry.id(), EngineSite::new);
             site.at(entry);
-            listed.add(new Listed(site.engine, kinds.indexOf(entry.kind()), zones.indexOf(entry.zone()), entry.cell(),
+            listed.add(new Listed(site.engine, place(kinds, entry.kind()), place(zones, entry.zone()), entry.cell(),
                     entry.weight(), entry.standing(),
                     entry.startedMs() == 0 ? 0 : entry.startedMs() * Units.TENTHS_PER_MS));
         }
         return listed;
     }
 
+    /** A name that the settings don't know stands behind all that they do. */
+    private static int place(List<?> names, String name) {
+        int place = names.indexOf(name);
+        return place < 0 ? names.size() : place;
+    }
+
     /** Closes what leads to engines that are gone, and forgets them. */
     void sweep() {
         for (Iterator<EngineSite> i = sites.values().iterator(); i.hasNext();) {
@@ -58,6 +64,10 @@
         return sites.values();
     }
 
+    int size() {
+        return Math.max(1, sites.size());
+    }
+
     long index() {
         return index;
     }
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -46,8 +46,9 @@
     private static final long SWEEP_EVERY = 50 * Units.TENTHS_PER_MS;
     private static final long ASK_EVERY = 200 * Units.TENTHS_PER_MS;
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
-    private static final long CLIENT_QUIET_MOST = 30_000 * Units.TENTHS_PER_MS;
-    private static final long CLIENT_MIDWAY_MOST = 10_000 * Units.TENTHS_PER_MS;
+    private static final long CLIENT_IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
+    private static final long CLIENT_STALLED_MOST = 10_000 * Units.TENTHS_PER_MS;
+    private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
     private static final int QUERIES_KEPT = 8;
 
     private final Driver driver;
@@ -61,7 +62,6 @@
     private final Random queryIds;
     private final Steering steering;
     private final int streams;
-    private final int clientsMost;
     private final int linksMost;
     private final long bytesMost;
     private long bytes;
@@ -70,6 +70,7 @@
     private long wakeAt = Long.MAX_VALUE;
     private long sweepAt;
     private long askAt;
+    private long countAt;
     private long logAt;
     private long unlogged;
     private boolean told;
@@ -84,8 +85,7 @@
             tracks.put(terms.text("profiles." + i + ".name"), i);
         }
         streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
-        clientsMost = assignment.sockets() / 2;
-        linksMost = assignment.sockets() / 4;
+        linksMost = assignment.linksMost();
         bytesMost = Runtime.getRuntime().maxMemory() / 4;
         queryIds = new Random(assignment.seed());
         engines = new EngineList(terms);
@@ -137,14 +137,10 @@
             ask();
         }
         long connectMost = terms.number("caps.connect_timeout", LINGER);
-        long idleMost = terms.number("caps.conn_idle", CLIENT_QUIET_MOST) / 2;
+        long idleMost = terms.number("caps.conn_idle", CLIENT_IDLE_MOST) / 2;
         for (EngineSite site : engines.all()) {
             for (EngineLink link : List.copyOf(site.links)) {
-                if (!link.open() && now >= link.dialedAt + connectMost) {
-                    link.end(Break.NEVER_UP);
-                } else if (link.idle() && now >= link.idleSince + idleMost) {
-                    link.retire();
-                }
+                link.sweep(connectMost, idleMost);
             }
         }
         engines.sweep();
@@ -154,16 +150,16 @@
                 overdue(call);
             }
             if (now >= call.forgetAt + LINGER && call.settled() && call.submission.isOver()) {
-                bytes -= call.bytes();
+                held(-call.ask.statement().length);
+                held(call.answer == null ? 0 : -call.answer.body().length);
                 i.remove();
             }
         }
-        for (ClientLink client : List.copyOf(clients)) {
-            if (client.midway() && now >= client.quietSince + CLIENT_MIDWAY_MOST) {
-                client.answer(HttpAnswer.text(408, "", true));
-            } else if (client.idle() && now >= client.quietSince + CLIENT_QUIET_MOST) {
-                client.drop();
-            }
+        List.copyOf(clients).forEach(client -> client.sweep(CLIENT_STALLED_MOST, CLIENT_IDLE_MOST));
+        if (now >= countAt) {
+            countAt = now + COUNT_EVERY;
+            LOG.info("{} submissions, {} client and {} engine connections, {} KB held, list {}", calls.size(),
+                    clients.size(), links, bytes / 1024, engines.index());
         }
     }
 
@@ -179,14 +175,9 @@
 
     // ---- clients ----
 
-    /** A client has connected; null if there is no room for it. */
+    /** A client has connected. */
     public Pipe.Owner accepted(Pipe pipe) {
-        if (clients.size() >= clientsMost) {
-            rarely("no room for a further client connection");
-            pipe.drop();
-            return null;
-        }
-        ClientLink client = new ClientLink(this, pipe, now);
+        ClientLink client = new ClientLink(this, pipe);
         clients.add(client);
         return client;
     }
@@ -200,12 +191,12 @@
             client.answer(HttpAnswer.text(fault.status(), "{\"problem\":\"" + fault.cause() + "\"}", true));
             return;
         }
-        HttpCall call = (HttpCall) item;
-        if (call.last()) {
+        HttpCall http = (HttpCall) item;
+        if (http.last()) {
             client.lastCall();
         }
-        String path = call.path();
-        switch (call.method()) {
+        String path = http.path();
+        switch (http.method()) {
             case GET -> {
                 if (path.equals(HEALTH)) {
                     client.answer(draining ? HttpAnswer.problem(503, "Draining", 0) : HttpAnswer.text(200, "{}", false));
@@ -213,17 +204,34 @@
                     fetch(client, path);
                 }
             }
-            case POST -> submit(client, call);
+            case POST -> submit(client, http);
             case DELETE -> {
-                Call left = path.startsWith(CALLS) ? calls.get(path.substring(CALLS.length())) : null;
-                if (left != null && !left.settled()) {
-                    left.left = true;
-                    steering.left(now, left.submission);
-                    told = true;
+                Call call = known(path);
+                if (call != null) {
+                    leave(call);
                 }
-                client.answer(left == null ? HttpAnswer.problem(404, "Unknown", 0) : HttpAnswer.text(200, "{}", false));
+                client.answer(call == null ? HttpAnswer.problem(404, "Unknown", 0) : HttpAnswer.text(200, "{}", false));
             }
-            default -> client.answer(HttpAnswer.problem(405, "Method", 0));
+            default -> client.answer(HttpAnswer.problem(405, "Method", 0).ending());
+        }
+    }
+
+    private Call known(String path) {
+        return path.startsWith(CALLS) ? calls.get(path.substring(CALLS.length())) : null;
+    }
+
+    /** The client has gone; nothing is owed any more. */
+    void leave(Call call) {
+        if (!call.settled()) {
+            call.left = true;
+            call.forgetAt = now;
+            if (call.waiting != null) {
+                call.waiting.waitsFor = null;
+                call.waiting.drop();
+                call.waiting = null;
+            }
+            steering.left(now, call.submission);
+            told = true;
         }
     }
 
@@ -251,18 +259,19 @@
         }
         Call call = new Call(ask, track, now);
         calls.put(ask.id(), call);
-        bytes += call.bytes();
+        held(ask.statement().length);
+        client.handedIn(call);
         client.answer(HttpAnswer.text(200, "{\"continue\":\"" + CALLS + ask.id() + "\"}", false));
         steering.arrived(now, call.submission);
         told = true;
     }
 
     private void fetch(ClientLink client, String path) {
-        Call call = path.startsWith(CALLS) ? calls.get(path.substring(CALLS.length())) : null;
-        if (call == null) {
+        Call call = known(path);
+        if (call == null || call.left) {
             client.answer(HttpAnswer.problem(404, "Unknown", 0));
         } else if (call.answer != null) {
-            client.answer(call.answer);
+            handOut(call, client);
         } else {
             if (call.waiting != null) {
                 call.waiting.waitsFor = null;
@@ -278,15 +287,25 @@
             return;
         }
         call.answer = answer;
-        call.forgetAt = Math.max(now, call.forgetAt);
-        bytes += answer.body().length;
+        held(answer.body().length);
         if (call.waiting != null) {
-            call.forgetAt = now;
-            call.waiting.answer(answer);
+            handOut(call, call.waiting);
             call.waiting = null;
         }
     }
 
+    /** The answer stays for a moment: a client whose connection breaks comes again. */
+    private void handOut(Call call, ClientLink client) {
+        call.handedOut = true;
+        call.forgetAt = now;
+        client.answer(call.answer);
+    }
+
+    /** Counts bytes that are kept for clients; beyond a share of the heap no submission is taken. */
+    void held(long more) {
+        bytes += more;
+    }
+
     long millisLeft(Call call) {
         return Math.max(1, (call.submission.leavesAt - now) / Units.TENTHS_PER_MS);
     }
@@ -365,7 +384,7 @@
         Flight flight = new Flight(hop, call);
         call.flights.add(flight);
         EngineLink link = site.roomy(call.ask.id(), streams);
-        if (link == null && links < linksMost) {
+        if (link == null && links < linksMost && site.links.size() < linksMost / engines.size()) {
             link = new EngineLink(this, site, now);
             links++;
             site.links.add(link);
@@ -431,14 +450,14 @@
         draining = true;
     }
 
-    /** Whether every submission has its answer, and the answer is on its way. */
+    /** Whether every answer is out. */
     public boolean allAnswered() {
         for (Call call : calls.values()) {
-            if (!call.settled() || call.waiting != null) {
+            if (!call.left && !call.handedOut) {
                 return false;
             }
         }
-        return true;
+        return clients.stream().noneMatch(ClientLink::sending);
     }
 
     /** Time is up: what is left is broken off, which promises nothing and so is always allowed. */
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -17,6 +17,16 @@
                          Map<String, Object> terms, List<EngineNews> known) {
     private static final int HEX = 16;
 
+    /** Half of the descriptors are for clients. */
+    public int clientsMost() {
+        return sockets / 2;
+    }
+
+    /** A quarter is for engines; the process itself and a burst in the backlog have the rest. */
+    public int linksMost() {
+        return sockets / 4;
+    }
+
     /** @throws IOException if it can't be read or is not what it should be; the message says what */
     public static Assignment read(Path file) throws IOException {
         try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(file))) {
