--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# make build | test | lint | run; run takes CONFIG=path, by default the example's.
+CONFIG ?= examples/configuration.json
+RUN = $(shell sed -n 's/^run = "\(.*\)".*/\1/p' deploy/balancer.toml)
+
+.PHONY: build test lint run
+build:
+	mvn -q -DskipTests package
+
+test:
+	mvn -B -ntp clean verify
+
+# Every compiler warning is an error; no line is longer than is read at a glance.
+lint:
+	mvn -q -B -Dmaven.compiler.failOnWarning=true clean test-compile
+	! grep -rnE '.{111,}' src/main/java/tillerlink/Policy.java
+	! grep -rnE '.{121,}' src/main --include=*.java
+	! grep -rnE '.{151,}' src/test examples --include=*.java
+
+run: build
+	EDGE_CONFIG=$(CONFIG) sh -c '$(RUN)'
--- a/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -74,7 +74,12 @@
     }
 
     public void listen(InetSocketAddress address) throws IOException {
-        acceptor.bind(address);
+        try {
+            acceptor.bind(address);
+        } catch (IOException e) {
+            Throwable cause = e.getCause() == null ? e : e.getCause();
+            throw new IOException("cannot listen on " + address + ": " + cause.getMessage(), e);
+        }
     }
 
     @Override
--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -30,7 +30,8 @@
     private boolean broken;
 
     /** Serves until it is told to end. */
-    public void serve(Map<String, String> environment, SteeringFactory modules) throws IOException, InterruptedException {
+    public void serve(Map<String, String> environment, SteeringFactory modules)
+            throws IOException, InterruptedException {
         String file = environment.get("EDGE_CONFIG");
         if (file == null) {
             throw new IOException("EDGE_CONFIG names no file");
--- a/src/main/java/tillerlink/net/state/Break.java
+++ b/src/main/java/tillerlink/net/state/Break.java
@@ -8,6 +8,8 @@
     REFUSED,
     /** It did not come up in time. */
     NEVER_UP,
+    /** It did not say that it works, and a new one to the same place did not come up. */
+    SILENT,
     RESET,
     CLOSED_BY_PEER,
     /** The peer said what can't be read. */
@@ -22,7 +24,7 @@
     public Outcome outcome(boolean whole) {
         return switch (this) {
             case REFUSED, NEVER_UP -> Outcome.UNREACHABLE;
-            case RESET, CLOSED_BY_PEER, GARBLED -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
+            case SILENT, RESET, CLOSED_BY_PEER, GARBLED -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
             case NO_ROOM -> Outcome.NEVER_SENT;
             case CLOSED_BY_US -> whole ? Outcome.CALLED_OFF : Outcome.NEVER_SENT;
         };
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -18,7 +18,6 @@
     /** Hops that ended here lately: an answer to one of these crossed our word and is no fault. */
     private static final int ENDED_KEPT = 512;
     private static final int PAGES_MOST = 64;
-    private static final int SILENT_MOST = 4;
     private static final String TAG = "0";
 
     final EngineSite site;
@@ -39,6 +38,8 @@
     private long idleSince;
     /** When it was asked whether it works and has not said anything since; 0 if it was not. */
     private long askedAt;
+    /** It did not say that it works. */
+    private boolean silent;
 
     EngineLink(Gateway gateway, EngineSite site, long now) {
         this.gateway = gateway;
@@ -53,7 +54,7 @@
     }
 
     boolean takes(String id, int most) {
-        return !retired && !over && flights.size() < most && !flights.containsKey(id) && !ended.contains(id);
+        return !retired && !silent && !over && flights.size() < most && !flights.containsKey(id) && !ended.contains(id);
     }
 
     void retire() {
@@ -65,27 +66,29 @@
 
     /**
      * Ends what did not come up or lies idle, sooner than the engine would: a hop must not meet its close. Guards
-     * also against a machine that vanished, behind which connections stay open and silent: one that does not say that
-     * it works takes no more hops, and a new one shows whether the machine is there. A few for an engine, no more:
-     * a machine that only stands still would draw them all.
+     * also against a machine that vanished, behind which connections stay open and silent: one with hops on which
+     * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
+     * no more hops and a new connection is tried; if that does not come up either, nobody is there, and the hops end
+     * in doubt. It should hold against any cut; it may hurt where a network loses everything for half a second.
      */
     void sweep(long connectMost, long idleMost) {
         long now = gateway.now();
         if (!open && now >= dialedAt + connectMost) {
             end(Break.NEVER_UP);
+            site.silent().forEach(link -> link.end(Break.SILENT));
         } else if (flights.isEmpty() && now >= idleSince + idleMost) {
             retire();
-        } else if (askedAt > 0 && now >= askedAt + connectMost && site.links.size() < SILENT_MOST) {
-            retire();
+        } else if (open && askedAt == 0 && !flights.isEmpty() && now >= heardAt + connectMost / 2) {
+            askedAt = now;
+            write(EngineCommand.there(TAG));
+        } else if (askedAt > 0 && !silent && now >= askedAt + connectMost / 2) {
+            silent = true;
+            gateway.tryAnew(site);
         }
     }
 
-    /** Asks whether the connection works, if nothing was heard on it for a while. */
-    private void ask(long since) {
-        if (open && !over && askedAt == 0 && heardAt < since) {
-            askedAt = gateway.now();
-            write(EngineCommand.there(TAG));
-        }
+    boolean silent() {
+        return silent;
     }
 
     void send(Flight flight) {
@@ -114,7 +117,6 @@
         boolean sent = !unsent.remove(flight);
         if (sent && !over) {
             write(EngineCommand.neverMind(flight.call.ask.id()));
-            ask(flight.hop.sentAt);
         }
         return Break.CLOSED_BY_US.outcome(sent);
     }
@@ -158,6 +160,7 @@
         }
         heardAt = gateway.now();
         askedAt = 0;
+        silent = false;
         try {
             reader.feed(bytes);
             for (EngineAnswer answer = reader.next(); answer != null && !over; answer = reader.next()) {
--- a/src/main/java/tillerlink/net/state/EngineSite.java
+++ b/src/main/java/tillerlink/net/state/EngineSite.java
@@ -34,6 +34,10 @@
         List.copyOf(links).forEach(EngineLink::retire);
     }
 
+    List<EngineLink> silent() {
+        return links.stream().filter(EngineLink::silent).toList();
+    }
+
     /** A connection with room for one more, or null. */
     EngineLink roomy(String submission, int most) {
         for (EngineLink link : links) {
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -188,7 +188,7 @@
 
     void called(ClientLink client, HttpItem item) {
         if (item instanceof HttpFault fault) {
-            client.answer(HttpAnswer.text(fault.status(), "{\"problem\":\"" + fault.cause() + "\"}", true));
+            client.answer(HttpAnswer.problem(fault.status(), fault.cause(), 0).ending());
             return;
         }
         HttpCall http = (HttpCall) item;
@@ -199,7 +199,7 @@
         switch (http.method()) {
             case GET -> {
                 if (path.equals(HEALTH)) {
-                    client.answer(draining ? HttpAnswer.problem(503, "Draining", 0) : HttpAnswer.text(200, "{}", false));
+                    client.answer(draining ? HttpAnswer.problem(503, "Draining", 0) : HttpAnswer.done());
                 } else {
                     fetch(client, path);
                 }
@@ -210,7 +210,7 @@
                 if (call != null) {
                     leave(call);
                 }
-                client.answer(call == null ? HttpAnswer.problem(404, "Unknown", 0) : HttpAnswer.text(200, "{}", false));
+                client.answer(call == null ? HttpAnswer.problem(404, "Unknown", 0) : HttpAnswer.done());
             }
             default -> client.answer(HttpAnswer.problem(405, "Method", 0).ending());
         }
@@ -261,7 +261,7 @@
         calls.put(ask.id(), call);
         held(ask.statement().length);
         client.handedIn(call);
-        client.answer(HttpAnswer.text(200, "{\"continue\":\"" + CALLS + ask.id() + "\"}", false));
+        client.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
         steering.arrived(now, call.submission);
         told = true;
     }
@@ -334,6 +334,25 @@
         told = true;
     }
 
+    /** A new connection, or null if there is no room for it. */
+    private EngineLink dial(EngineSite site) {
+        if (links >= linksMost || site.links.size() >= linksMost / engines.size()) {
+            return null;
+        }
+        EngineLink link = new EngineLink(this, site, now);
+        links++;
+        site.links.add(link);
+        link.dial(driver);
+        return link;
+    }
+
+    /** Shows whether anybody is there, if no connection does. */
+    void tryAnew(EngineSite site) {
+        if (site.links.stream().allMatch(EngineLink::silent)) {
+            dial(site);
+        }
+    }
+
     void linkEnded() {
         links--;
     }
@@ -384,11 +403,8 @@
         Flight flight = new Flight(hop, call);
         call.flights.add(flight);
         EngineLink link = site.roomy(call.ask.id(), streams);
-        if (link == null && links < linksMost && site.links.size() < linksMost / engines.size()) {
-            link = new EngineLink(this, site, now);
-            links++;
-            site.links.add(link);
-            link.dial(driver);
+        if (link == null) {
+            link = dial(site);
         }
         if (link == null) {
             rarely("no room for a further engine connection");
--- a/src/main/java/tillerlink/net/wire/Ask.java
+++ b/src/main/java/tillerlink/net/wire/Ask.java
@@ -17,7 +17,7 @@
     /** @throws IllegalArgumentException if a header is missing or can't be used; the message names it */
     public static Ask of(HttpCall call) {
         String id = call.fields().get("x-correlation-id");
-        if (id == null || id.length() != ID_DIGITS || !id.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128)) {
+        if (id == null || id.length() != ID_DIGITS || !id.chars().allMatch(Ask::hexDigit)) {
             throw new IllegalArgumentException("X-Correlation-Id");
         }
         String key = call.fields().get("x-operation-key");
@@ -34,6 +34,10 @@
                 Statement.tableGroup(new String(call.body(), StandardCharsets.UTF_8)), call.body());
     }
 
+    private static boolean hexDigit(int c) {
+        return c < 128 && Character.digit(c, 16) >= 0;
+    }
+
     private static boolean plain(int c) {
         return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.';
     }
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -66,7 +66,8 @@
                     String.valueOf(one.get("type")), number(one, "group", 0).intValue(), standing,
                     number(one, "weight", 1).doubleValue(), number(one, "since_ms", 0).longValue()));
         }
-        return new EngineNews(number(update, "index", 0).longValue(), Boolean.TRUE.equals(told.get("snapshot")), entries);
+        boolean whole = Boolean.TRUE.equals(told.get("snapshot"));
+        return new EngineNews(number(update, "index", 0).longValue(), whole, entries);
     }
 
     private static InetSocketAddress address(String text) {
--- a/src/main/java/tillerlink/net/wire/HttpAnswer.java
+++ b/src/main/java/tillerlink/net/wire/HttpAnswer.java
@@ -9,13 +9,21 @@
  * @param last     the connection ends after it
  */
 public record HttpAnswer(int status, byte[] body, long comeBack, boolean last) {
-    public static HttpAnswer text(int status, String body, boolean last) {
-        return new HttpAnswer(status, body.getBytes(StandardCharsets.UTF_8), 0, last);
+    public static HttpAnswer done() {
+        return of(200, "{}", 0);
+    }
+
+    /** The path at which there is more. */
+    public static HttpAnswer goOnAt(String path) {
+        return of(200, "{\"continue\":\"" + path + "\"}", 0);
     }
 
     public static HttpAnswer problem(int status, String problem, long comeBack) {
-        return new HttpAnswer(status, ("{\"problem\":\"" + problem + "\"}").getBytes(StandardCharsets.UTF_8), comeBack,
-                false);
+        return of(status, "{\"problem\":\"" + problem + "\"}", comeBack);
+    }
+
+    private static HttpAnswer of(int status, String body, long comeBack) {
+        return new HttpAnswer(status, body.getBytes(StandardCharsets.UTF_8), comeBack, false);
     }
 
     public HttpAnswer ending() {
--- a/src/main/java/tillerlink/net/wire/HttpReader.java
+++ b/src/main/java/tillerlink/net/wire/HttpReader.java
@@ -51,7 +51,8 @@
             if (head == null && !readHead() || bytes.size() < bodyLength) {
                 return null;
             }
-            HttpCall whole = new HttpCall(head.method(), head.path(), head.fields(), bytes.take(bodyLength), head.last());
+            byte[] body = bytes.take(bodyLength);
+            HttpCall whole = new HttpCall(head.method(), head.path(), head.fields(), body, head.last());
             head = null;
             goOnWanted = false;
             return whole;
--- /dev/null
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -0,0 +1,307 @@
+package tillerlink;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import tillerlink.model.Engine;
+import tillerlink.net.state.Break;
+import tillerlink.net.state.Driver;
+import tillerlink.net.state.Gateway;
+import tillerlink.net.state.Pipe;
+import tillerlink.net.wire.Assignment;
+import tillerlink.net.wire.EngineEntry;
+import tillerlink.net.wire.EngineNews;
+
+/** Submissions from bytes to orders and back, on a driver that only prints; each story is compared with its kept trace. */
+class GatewayTest {
+    private static final String ID = "00000000000000a1";
+
+    @Test
+    void aResultOfThreePages() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0).engine(0, ID + " progress tell=frac,reading=0.5 0||");
+        s.engine(0, ID + " ok count=3 8|a\t1\tx\n|".replace("8", "6")).say("pages in any order")
+                .engine(0, ID + " batch pos=2 6|c\t3\tz\n|").engine(0, ID + " batch pos=1 6|b\t2\ty\n|");
+        s.say("the same again after a broken connection").breaks("c1", Break.RESET).get("c2", ID).pass(2500).get("c2", ID);
+        s.matches("net-pages");
+    }
+
+    /** What each ending proves is seen on a track that must never run twice: another hop, or it is broken off. */
+    @Test
+    void endings() {
+        Stage s = new Stage();
+        for (Break how : List.of(Break.REFUSED, Break.RESET)) {
+            s.say("before it was connected: " + how).fresh().post("c1", ID, "book").get("c1", ID).ends(0, how);
+        }
+        s.say("it never comes up").fresh().post("c1", ID, "book").get("c1", ID).pass(300);
+        s.say("reset before it was wholly written").fresh().stuck().post("c1", ID, "book").get("c1", ID).connected(0).ends(0, Break.RESET);
+        for (Break how : List.of(Break.RESET, Break.CLOSED_BY_PEER)) {
+            s.say("after it was written: " + how).fresh().post("c1", ID, "book").get("c1", ID).connected(0).ends(0, how);
+        }
+        for (String word : List.of("refused", "stale", "error")) {
+            s.say("the engine says " + word).fresh().post("c1", ID, "book").get("c1", ID).connected(0).engine(0, ID + " " + word + " - 0||");
+        }
+        s.say("a page is lost").fresh().post("c1", ID, "book").get("c1", ID).connected(0).engine(0, ID + " ok count=2 0||")
+                .engine(0, ID + " error - 0||");
+        for (String bad : List.of("x|", ID + " hello - 0||", "00000000000000ff ok count=1 0||", ID + " ok count=1 1|ab|",
+                ID + " batch pos=1 0||")) {
+            s.say("it can't be read").fresh().post("c1", ID, "book").get("c1", ID).connected(0).engine(0, bad);
+        }
+        s.matches("net-endings");
+    }
+
+    /** Guards against waiting for a machine that vanished, and against taking one that is only slow for it. */
+    @Test
+    void silence() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
+        s.say("quiet, but it works").pass(200).engine(0, "0 yes - 0||").say("quiet, and nobody is there").pass(600);
+        s.connected(2).engine(2, ID + " ok count=1 6|a\t1\tx\n|");
+        s.say("it does not say that it works, but a new connection comes up").fresh().post("c1", ID, "look").get("c1", ID)
+                .connected(0).pass(350).connected(1).post("c2", "00000000000000a2", "look").post("c2", "00000000000000a3", "look").post("c2", "00000000000000a4", "look");
+        s.say("a late answer is as good").engine(0, ID + " ok count=1 0||").say("a later answer to what is over is no fault")
+                .engine(0, ID + " progress - 0||").matches("net-silence");
+    }
+
+    @Test
+    void clientsThatLeave() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
+        s.say("by DELETE").client("c2", "DELETE /v1/calls/" + ID + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.say("by a close before the path was out").stuck().post("c3", "00000000000000a2", "look").breaks("c3", Break.CLOSED_BY_PEER);
+        s.matches("net-leave");
+    }
+
+    @Test
+    void badCalls() {
+        Stage s = new Stage();
+        String[] heads = {"POST /v1/nobody", "POST /v2/look", "GET /v1/calls/00000000000000ff", "PUT /v1/look", "GET /other"};
+        for (String head : heads) {
+            s.client("c1", head + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n").breaks("c1", Break.CLOSED_BY_PEER);
+        }
+        for (String fields : List.of("", "X-Correlation-Id: 12\r\nX-Deadline-Ms: 5\r\n", "X-Correlation-Id: " + ID + "\r\n",
+                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: soon\r\n", "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Space: -1\r\n",
+                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Operation-Key: a,b\r\n")) {
+            s.client("c2", "POST /v1/look HTTP/1.1\r\nHost: a\r\n" + fields + "Content-Length: 0\r\n\r\n");
+        }
+        s.say("a body that waits to be asked for").client("c3", "POST /v1/look HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                + "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 50\r\nContent-Length: 8\r\n\r\n").client("c3", "SELECT 1");
+        s.say("the same id again").post("c2", ID, "look").say("half a call").client("c4", "POST /v1/lo").pass(11000);
+        s.matches("net-bad-calls");
+    }
+
+    @Test
+    void pipelinedCallsAreReadWhenTheAnswerBeforeIsOut() {
+        Stage s = new Stage().stuck();
+        s.client("c1", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n".repeat(3)).say("the first answer is out").letGo().matches("net-pipelined");
+    }
+
+    /** Guards against sending to a process that is gone what was meant for the one that took its place. */
+    @Test
+    void newsOfTheNameService() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
+        s.say("the engine restarted under its name: new hops go over a new connection")
+                .news(5, "e1 ready 127.0.0.1:5050 east std 0 1700000000000").pass(16000).post("c2", "00000000000000a2", "look");
+        s.say("older news are dropped").news(4, "e9 ready 127.0.0.9:5050 east std 0 0").post("c2", "00000000000000a3", "look").post("c2", "00000000000000a4", "look");
+        s.say("another engine under its address").news(6, "e2 ready 127.0.0.1:5050 east std 0 0").post("c3", "00000000000000a4", "look");
+        s.matches("net-news");
+    }
+
+    @Test
+    void drained() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0).say("told to end").drain();
+        s.client("c2", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").answered().post("c2", "00000000000000a2", "look");
+        s.engine(0, ID + " ok count=1 0||").answered().say("time is up").timeUp().get("c2", "00000000000000a2").answered().matches("net-drain");
+    }
+
+    /** A driver that prints. Times are milliseconds; in what engines say, | is a line's end. */
+    private static final class Stage implements Driver {
+        private static final int TENTHS = 10;
+        private static final long START = 17_000_000_000_000L;
+
+        private final StringBuilder printed = new StringBuilder();
+        private final List<Printed> dialed = new ArrayList<>();
+        private final List<Printed> unsent = new ArrayList<>();
+        private final Map<String, Printed> clients = new LinkedHashMap<>();
+        private long now = START;
+        private int query;
+        private boolean stuck;
+        private Gateway gateway;
+
+        Stage() {
+            fresh();
+        }
+
+        Stage fresh() {
+            dialed.clear();
+            clients.clear();
+            unsent.clear();
+            stuck = false;
+            Map<String, Object> caps = Map.of("max_attempts", 3L, "may_cancel", true, "retry_after", true, "max_retry_after_us",
+                    1_000_000L, "streams_per_conn", 32L, "connect_timeout_us", 250_000L, "conn_idle_us", 30_000_000L);
+            Map<String, Object> look = Map.of("name", "look", "semantics", "repeatable", "aim_us", 1_000_000L, "hard_limit_us",
+                    5_000_000L, "worth", 1.0, "late_worth", 0.5);
+            Map<String, Object> book = Map.of("name", "book", "semantics", "once", "aim_us", 1_000_000L, "hard_limit_us",
+                    5_000_000L, "worth", 1.0, "late_worth", 0.5);
+            Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book), "models", List.of("std"), "zones",
+                    List.of("east"), "tick_us", 5000L, "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
+            EngineNews known = new EngineNews(1, true, List.of(entry("e1", "127.0.0.1"), entry("e2", "127.0.0.2")));
+            InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
+            gateway = new Gateway(new Assignment("n0", any, any, 7, 1024, terms, List.of(known)), Policy::new, this, now);
+            return turn(() -> { });
+        }
+
+        private static EngineEntry entry(String id, String address) {
+            return new EngineEntry(id, address, 5050, "east", "std", 0, Engine.Standing.READY, 1, 0);
+        }
+
+        Stage say(String comment) {
+            printed.append("# ").append(comment).append('\n');
+            return this;
+        }
+
+        Stage stuck() {
+            stuck = true;
+            return this;
+        }
+
+        Stage letGo() {
+            stuck = false;
+            return turn(() -> { });
+        }
+
+        Stage post(String client, String id, String track) {
+            return client(client, "POST /v1/" + track + " HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: " + id
+                    + "\r\nX-Deadline-Ms: 4500\r\nX-Estimate-Ms: 100\r\nContent-Length: 8\r\n\r\nSELECT 1");
+        }
+
+        Stage get(String client, String id) {
+            return client(client, "GET /v1/calls/" + id + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        }
+
+        Stage client(String name, String bytes) {
+            Printed pipe = clients.computeIfAbsent(name, n -> {
+                Printed made = new Printed(n);
+                made.owner = gateway.accepted(made);
+                return made;
+            });
+            return turn(() -> pipe.owner.fed(bytes.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        Stage breaks(String client, Break how) {
+            return turn(() -> clients.remove(client).owner.ended(how));
+        }
+
+        Stage connected(int link) {
+            return turn(() -> dialed.get(link).owner.opened());
+        }
+
+        Stage ends(int link, Break how) {
+            return turn(() -> dialed.get(link).owner.ended(how));
+        }
+
+        Stage engine(int link, String says) {
+            return turn(() -> dialed.get(link).owner.fed(says.replace("|", "\r\n").getBytes(StandardCharsets.UTF_8)));
+        }
+
+        Stage news(int index, String... engines) {
+            return pass(200).turn(() -> gateway.told(WireTest.answer(query, index, engines)));
+        }
+
+        Stage drain() {
+            gateway.drain();
+            return this;
+        }
+
+        Stage answered() {
+            print(gateway.allAnswered() ? "all answered" : "not all answered");
+            return this;
+        }
+
+        Stage timeUp() {
+            return turn(() -> gateway.breakOffAll());
+        }
+
+        Stage pass(long ms) {
+            long until = now + ms * TENTHS;
+            while (gateway.dueAt() <= until) {
+                now = Math.max(now, gateway.dueAt());
+                turn(() -> { });
+            }
+            now = until;
+            return this;
+        }
+
+        Stage turn(Runnable event) {
+            gateway.begin(now);
+            event.run();
+            gateway.settle();
+            while (gateway.dueAt() <= now) {
+                gateway.begin(now);
+                gateway.settle();
+            }
+            return this;
+        }
+
+        void matches(String kept) {
+            Trace.same(kept, printed.toString());
+        }
+
+        private void print(String line) {
+            printed.append(String.format("%5d  %s%n", (now - START) / TENTHS, line));
+        }
+
+        @Override
+        public Pipe dial(InetSocketAddress to, Pipe.Owner owner) {
+            Printed pipe = new Printed("e" + to.getHostString().charAt(8) + "/" + dialed.size());
+            pipe.owner = owner;
+            dialed.add(pipe);
+            print("dial " + pipe.name);
+            return pipe;
+        }
+
+        @Override
+        public void ask(byte[] datagram) {
+            query = (datagram[0] & 255) << 8 | datagram[1] & 255;
+        }
+
+        @Override
+        public void flush() {
+            while (!stuck && !unsent.isEmpty()) {
+                unsent.remove(0).owner.written();
+            }
+        }
+
+        private final class Printed implements Pipe {
+            private final String name;
+            private Owner owner;
+
+            Printed(String name) {
+                this.name = name;
+            }
+
+            @Override
+            public void write(byte[] bytes) {
+                print(name + " < " + new String(bytes, StandardCharsets.UTF_8)
+                        .replaceAll("\r\n(Content-[^\r]*\r\n)*", "|").replaceAll("\\|\\|$", "|"));
+                unsent.add(this);
+            }
+
+            @Override
+            public void close() {
+                print(name + " closed");
+            }
+
+            @Override
+            public void drop() {
+                print(name + " dropped");
+            }
+
+            @Override
+            public void hold(boolean held) {
+                print(name + (held ? " not read" : " read again"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tillerlink/ServeTest.java
@@ -0,0 +1,224 @@
+package tillerlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the program and speaks to it over sockets; an engine and a name service of a few lines stand in. */
+class ServeTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final String LOOPBACK = "127.0.0.1";
+
+    @TempDir
+    private Path folder;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE).build();
+    private final List<Process> started = new ArrayList<>();
+    private ServerSocket engine;
+    private DatagramSocket names;
+    private int port;
+
+    @BeforeEach
+    void standIns() throws IOException {
+        InetAddress loopback = InetAddress.getByName(LOOPBACK);
+        engine = new ServerSocket(0, 50, loopback);
+        names = new DatagramSocket(new InetSocketAddress(loopback, 0));
+        try (ServerSocket free = new ServerSocket(0, 1, loopback)) {
+            port = free.getLocalPort();
+        }
+        daemon(() -> {
+            while (true) {
+                Socket socket = engine.accept();
+                daemon(() -> converse(socket));
+            }
+        });
+        daemon(() -> {
+            while (true) {
+                DatagramPacket packet = new DatagramPacket(new byte[512], 512);
+                names.receive(packet);
+                byte[] q = packet.getData();
+                byte[] list = WireTest.answer((q[0] & 255) << 8 | q[1] & 255, 2,
+                        "e1 ready 127.0.0.1:" + engine.getLocalPort() + " east std 0 0");
+                names.send(new DatagramPacket(list, list.length, packet.getSocketAddress()));
+            }
+        });
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        started.forEach(Process::destroyForcibly);
+        engine.close();
+        names.close();
+    }
+
+    @Test
+    void servesAndEndsWhenAllIsAnswered() throws Exception {
+        Process gateway = start(configuration());
+        awaitHealth();
+        assertEquals("{\"records\":[[\"SELECT 1\",\"look\",\"\"],[\"page\",\"1\",\"\"]]}", ask("00000000000000a1", "SELECT 1", 200));
+        assertEquals("{\"problem\":\"Error\"}", ask("00000000000000a2", "fail", 500));
+        assertEquals(404, client.send(to("/v1/nobody").POST(HttpRequest.BodyPublishers.ofString("x")).build(),
+                HttpResponse.BodyHandlers.ofString()).statusCode());
+        CompletableFuture<String> slow = CompletableFuture.supplyAsync(() -> ask("00000000000000a3", "slow", 200));
+        Thread.sleep(300);
+        gateway.destroy();
+        assertEquals("{\"records\":[[\"slow\",\"look\",\"\"],[\"page\",\"1\",\"\"]]}", slow.get(10, TimeUnit.SECONDS));
+        assertTrue(gateway.waitFor(10, TimeUnit.SECONDS));
+        start(configuration());
+        awaitHealth();
+    }
+
+    @Test
+    void manyAtOnce() throws Exception {
+        start(configuration());
+        awaitHealth();
+        List<CompletableFuture<String>> answers = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            String id = String.format("%016x", i);
+            answers.add(CompletableFuture.supplyAsync(() -> ask(id, "statement " + id, 200)));
+        }
+        for (int i = 0; i < 60; i++) {
+            assertTrue(answers.get(i).get(10, TimeUnit.SECONDS).contains(String.format("\"statement %016x\"", i)));
+        }
+    }
+
+    @Test
+    void cannotStart() throws Exception {
+        assertEquals("1: tillerlink: 'seed' is missing or not a text", failure(configuration().replace("\"seed\"", "\"speed\"")));
+        assertTrue(failure("{").startsWith("1: tillerlink: "));
+        try (ServerSocket taken = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+            assertTrue(failure(configuration()).contains("Address already in use"), "port " + taken.getLocalPort());
+        }
+    }
+
+    private String failure(String configuration) throws Exception {
+        Process process = start(configuration);
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        return process.exitValue() + ": " + new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+    }
+
+    private Process start(String configuration) throws IOException {
+        Path file = Files.writeString(folder.resolve("configuration.json"), configuration);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "tillerlink.Main", "serve");
+        builder.environment().put("EDGE_CONFIG", file.toString());
+        started.add(builder.start());
+        return started.get(started.size() - 1);
+    }
+
+    private String configuration() {
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},"
+                + "\"resolver\":\"127.0.0.1:" + names.getLocalPort() + "\",\"known\":{\"index\":0,\"updates\":[]},\"settings\":{"
+                + "\"tick_us\":5000,\"caps\":{\"max_attempts\":2,\"streams_per_conn\":8,\"connect_timeout_us\":250000},"
+                + "\"models\":[\"std\"],\"zones\":[\"east\"],\"family_info\":{\"kind_cores\":[8]},\"profiles\":[{\"name\":\"look\","
+                + "\"semantics\":\"once\",\"aim_us\":5000000,\"hard_limit_us\":9000000,\"worth\":1,\"late_worth\":0.5}]}}";
+    }
+
+    private void awaitHealth() throws Exception {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        while (true) {
+            try {
+                if (client.send(to("/healthz").build(), HttpResponse.BodyHandlers.ofString()).statusCode() == 200) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not yet up.
+            }
+            assertTrue(System.nanoTime() < until, "not healthy in time");
+            Thread.sleep(20);
+        }
+    }
+
+    /** Hands in a statement and follows the paths to the last answer. */
+    private String ask(String id, String statement, int status) {
+        try {
+            HttpResponse<String> answer = client.send(to("/v1/look").header("X-Correlation-Id", id).header("X-Deadline-Ms", "8000")
+                    .header("X-Estimate-Ms", "100").POST(HttpRequest.BodyPublishers.ofString(statement)).build(),
+                    HttpResponse.BodyHandlers.ofString());
+            while (answer.body().startsWith("{\"continue\":\"")) {
+                answer = client.send(to(answer.body().split("\"")[3]).build(), HttpResponse.BodyHandlers.ofString());
+            }
+            assertEquals(status, answer.statusCode());
+            return answer.body();
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private HttpRequest.Builder to(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + port + path)).timeout(PATIENCE);
+    }
+
+    /** An engine that answers with the statement and one further page; "slow" takes a second and a half, "fail" fails. */
+    private static void converse(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        OutputStream out = socket.getOutputStream();
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            String[] words = line.split(" ");
+            if (words[0].equals("want")) {
+                String statement = in.readLine();
+                if (statement.equals("slow")) {
+                    pause(1500);
+                }
+                String row = statement + "\tlook\t\n";
+                say(out, words[1] + (statement.equals("fail") ? " error - 0\r\n\r\n" : " ok count=2 " + row.length() + "\r\n" + row + "\r\n"));
+            } else if (words[0].equals("turn")) {
+                say(out, words[1] + " batch pos=" + words[2] + " 8\r\npage\t1\t\n\r\n");
+            }
+        }
+    }
+
+    private static void say(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The test is over and has closed what this read from.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- a/src/test/java/tillerlink/Trace.java
+++ b/src/test/java/tillerlink/Trace.java
@@ -6,6 +6,8 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -142,9 +144,18 @@
 
     /** Compares with the kept trace. */
     void matches(String kept) {
+        same(kept, printed.toString());
+    }
+
+    /** Compares any print with a kept trace; with {@code -Dkeep=folder} writes it there for people to read and keep. */
+    static void same(String kept, String printed) {
+        String folder = System.getProperty("keep");
         try (InputStream in = Trace.class.getResourceAsStream("/traces/" + kept + ".txt")) {
             String wanted = in == null ? "(no kept trace)" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
-            assertEquals(wanted, printed.toString());
+            if (folder != null) {
+                Files.writeString(Path.of(folder, kept + ".txt"), printed);
+            }
+            assertEquals(wanted, printed);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- /dev/null
+++ b/src/test/java/tillerlink/WireTest.java
@@ -0,0 +1,210 @@
+package tillerlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import tillerlink.net.wire.Dns;
+import tillerlink.net.wire.EngineAnswer;
+import tillerlink.net.wire.EngineEntry;
+import tillerlink.net.wire.EngineReader;
+import tillerlink.net.wire.HttpCall;
+import tillerlink.net.wire.HttpFault;
+import tillerlink.net.wire.HttpItem;
+import tillerlink.net.wire.HttpReader;
+import tillerlink.net.wire.Rows;
+import tillerlink.net.wire.Statement;
+
+/** What is spoken, without a socket: each machine is fed whole, bytewise and at every split, and must read the same. */
+class WireTest {
+    private static final String CALLS = "POST /v1/look HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 1500\r\nContent-Length: 8\r\n\r\n"
+            + "SELECT 1GET http://a/v1/calls/9?x=1 HTTP/1.1\r\nhost: a\r\nConnection: close\r\n\r\n"
+            + "\r\nDELETE /v1/calls/9 HTTP/1.0\n\nGET  / HTTP/1.1\r\n\r\n";
+
+    interface Machine {
+        String read(byte[] bytes);
+    }
+
+    /** What a fresh machine reads of the bytes in these pieces. */
+    private static String read(java.util.function.Supplier<Machine> fresh, byte[] bytes, int... cuts) {
+        Machine machine = fresh.get();
+        StringBuilder read = new StringBuilder();
+        int from = 0;
+        for (int cut : cuts) {
+            read.append(machine.read(Arrays.copyOfRange(bytes, from, cut)));
+            from = cut;
+        }
+        return read.append(machine.read(Arrays.copyOfRange(bytes, from, bytes.length))).toString();
+    }
+
+    private static String readAnyhow(java.util.function.Supplier<Machine> fresh, byte[] bytes) {
+        String whole = read(fresh, bytes);
+        for (int i = 0; i <= bytes.length; i++) {
+            assertEquals(whole, read(fresh, bytes, i), "split at " + i);
+        }
+        int[] every = new int[bytes.length];
+        Arrays.setAll(every, i -> i);
+        assertEquals(whole, read(fresh, bytes, every), "byte by byte");
+        return whole;
+    }
+
+    private static Machine http() {
+        HttpReader reader = new HttpReader();
+        return bytes -> {
+            reader.feed(bytes);
+            StringBuilder read = new StringBuilder();
+            for (HttpItem item = reader.next(); item != null; item = reader.next()) {
+                if (item instanceof HttpCall call) {
+                    read.append(call.method() + " " + call.path() + " " + new TreeMap<>(call.fields()) + " '"
+                            + text(call.body()) + "'" + (call.last() ? " last" : "") + "\n");
+                } else if (item instanceof HttpFault fault) {
+                    read.append(fault.status() + " " + fault.cause() + "\n");
+                }
+            }
+            return read.toString();
+        };
+    }
+
+    private static Machine engine() {
+        EngineReader reader = new EngineReader();
+        return bytes -> {
+            StringBuilder read = new StringBuilder();
+            try {
+                reader.feed(bytes);
+                for (EngineAnswer a = reader.next(); a != null; a = reader.next()) {
+                    read.append(a.id() + " " + a.word() + " " + a.number() + " " + a.about() + " " + a.level() + " '"
+                            + text(a.body()).replace("\n", "\\n").replace("\t", "\\t") + "'\n");
+                }
+            } catch (IllegalArgumentException e) {
+                read.append("fault: ").append(e.getMessage()).append('\n');
+            }
+            return read.toString();
+        };
+    }
+
+    @Test
+    void callsOfClients() {
+        StringBuilder printed = new StringBuilder(readAnyhow(WireTest::http, bytes(CALLS)));
+        String head = "POST /v1/look HTTP/1.1\r\nHost: a\r\n";
+        for (String bad : List.of("GET /\r\n\r\n", "GET / HTTP/2.0\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "G@T / HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET here HTTP/1.1\r\nHost: a\r\n\r\n", head + "Host: b\r\n\r\n", head + "X-Deadline-Ms: 1\r\nx-deadline-ms: 2\r\n\r\n",
+                head + "X-Space : 1\r\n\r\n", head + " folded: 1\r\n\r\n", head + "no colon\r\n\r\n", head + "A: \u0001\r\n\r\n",
+                head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\n", head + "Content-Length: -1\r\n\r\n",
+                head + "Content-Length: 1000000\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "GET /" + "a".repeat(5000) + " HTTP/1.1\r\n", head + ("A" + "b".repeat(90) + ": c\r\n").repeat(200))) {
+            String shown = bad.length() > 90 ? bad.substring(0, 60) + "..." : bad;
+            printed.append(shown.replace("\r\n", "|")).append(" -> ").append(read(WireTest::http, bytes(bad)));
+        }
+        Trace.same("net-http", printed.toString());
+    }
+
+    @Test
+    void answersOfEngines() {
+        StringBuilder printed = new StringBuilder(readAnyhow(WireTest::engine, bytes(
+                "9b ok count=2 6\r\na\tb\r\nc\r\n0 yes - 0\r\n\r\n9b batch pos=1,novel=x 0\r\n\r\n"
+                + "7c progress tell=frac,reading=0.45 0\r\n\r\n7c progress - 0\r\n\r\n7c refused - 0\r\n\r\n")));
+        for (String bad : List.of("9b ok count=1 3\r\nabcd\r\n", "9b ok\r\n", "9b hello - 0\r\n\r\n", "9b ok count=x 0\r\n\r\n",
+                "9b ok count 0\r\n\r\n", "9b ok - 0\n\n", "9b ok - 99999\r\n", "9b ok - -1\r\n", "a".repeat(2000))) {
+            String shown = bad.length() > 90 ? bad.substring(0, 60) + "..." : bad;
+            printed.append(shown.replace("\r", "").replace("\n", "|")).append(" -> ").append(read(WireTest::engine, bytes(bad)));
+        }
+        printed.append(text(Rows.answer(new byte[][] {bytes("a\t1\tq\"\\\u0002\nb\t\tz\n"), {}, bytes("c\t2\té\n")})));
+        Trace.same("net-engine", printed.append('\n').toString());
+    }
+
+    @Test
+    void tableGroups() {
+        StringBuilder printed = new StringBuilder();
+        for (String statement : List.of("SELECT day FROM sales_17.orders WHERE tag = 'x_3.y' GROUP BY day",
+                "select * from staging.t_4 join /* a_5.b */ \"sales_6\".\"t\" on 1=1 -- b_7.c", "INSERT INTO sales_8.t SELECT * FROM staging.u",
+                "SELECT o_9.day FROM sales_10.orders o_9", "UPDATE cat.sales_11.t SET a = 'it''s x_1.y'", "COPY staging_3.t TO sales_12.u",
+                "SELECT a FROM b, sales_13.c", "SELECT 1.5 FROM t_2", "SELECT 'open FROM sales_14.t")) {
+            printed.append(Statement.tableGroup(statement)).append("  ").append(statement).append('\n');
+        }
+        Trace.same("net-statement", printed.toString());
+    }
+
+    @Test
+    void listsOfTheNameService() {
+        byte[] message = answer(77, 41, "s-1 ready 127.0.0.1:5050 east std 2 0", "s-2 draining 127.0.0.2:5051 west big 3 1700000000123");
+        StringBuilder printed = new StringBuilder("index " + Dns.answer(message, 77).index() + "\n");
+        for (EngineEntry entry : Dns.answer(message, 77).entries()) {
+            printed.append(entry).append('\n');
+        }
+        for (int end = 0; end < message.length; end++) {
+            byte[] shorter = Arrays.copyOf(message, end);
+            assertThrows(IllegalArgumentException.class, () -> Dns.answer(shorter, 77), "cut at " + end);
+        }
+        byte[] loop = message.clone();
+        loop[12] = (byte) 0xc0;
+        loop[13] = 12;
+        byte[] truncated = message.clone();
+        truncated[2] |= 2;
+        byte[] refused = message.clone();
+        refused[3] |= 5;
+        Map<String, byte[]> bad = new TreeMap<>(Map.of("loop", loop, "truncated", truncated, "refused", refused, "query", Dns.query(77)));
+        bad.forEach((what, bytes) -> printed.append(what).append(": ")
+                .append(assertThrows(IllegalArgumentException.class, () -> Dns.answer(bytes, 77)).getMessage()).append('\n'));
+        printed.append("foreign: ").append(assertThrows(IllegalArgumentException.class, () -> Dns.answer(message, 78)).getMessage());
+        Trace.same("net-dns", printed.append('\n').toString());
+    }
+
+    /** An answer of the name service, names compressed; engines as "id ready|draining address:port zone kind cell started". */
+    static byte[] answer(int id, int serial, String... engines) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        put(out, id, 0x8400, 1, engines.length, 1, 2 * engines.length);
+        out.writeBytes(Arrays.copyOfRange(Dns.query(id), 12, Dns.query(id).length));
+        int[] targets = new int[engines.length];
+        for (int i = 0; i < engines.length; i++) {
+            String[] e = engines[i].split(" ");
+            put(out, 0xc00c, 33, 1, 0, 5, 6 + e[0].length() + 1 + e[3].length() + 1 + 7, e[1].equals("ready") ? 0 : 1, 10,
+                    Integer.parseInt(e[2].split(":")[1]));
+            targets[i] = out.size();
+            label(out, e[0]);
+            label(out, e[3]);
+            label(out, "hosts");
+            out.write(0);
+        }
+        put(out, 0xc00c, 6, 1, 0, 5, 24, 0xc00c, 0xc00c, serial >> 16, serial, 0, 0, 0, 0, 0, 0, 0, 0);
+        for (int i = 0; i < engines.length; i++) {
+            String[] e = engines[i].split(" ");
+            put(out, 0xc000 | targets[i], 1, 1, 0, 5, 4);
+            for (String part : e[2].split(":")[0].split("\\.")) {
+                out.write(Integer.parseInt(part));
+            }
+            ByteArrayOutputStream texts = new ByteArrayOutputStream();
+            label(texts, "kind=" + e[4]);
+            label(texts, "cell=" + e[5]);
+            label(texts, "started=" + e[6]);
+            put(out, 0xc000 | targets[i], 16, 1, 0, 5, texts.size());
+            out.writeBytes(texts.toByteArray());
+        }
+        return out.toByteArray();
+    }
+
+    private static void put(ByteArrayOutputStream out, int... pairs) {
+        for (int pair : pairs) {
+            out.write(pair >> 8);
+            out.write(pair);
+        }
+    }
+
+    private static void label(ByteArrayOutputStream out, String label) {
+        out.write(label.length());
+        out.writeBytes(bytes(label));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
