--- a/src/main/java/tillerlink/net/life/WallClock.java
+++ b/src/main/java/tillerlink/net/life/WallClock.java
@@ -2,7 +2,7 @@
 
 import java.time.Instant;
 
-/** Unix time in tenths of a millisecond as of the start, carried on evenly: a step of the system's clock does not show. */
+/** Unix time in tenths of a millisecond as of the start, carried on evenly: a step of the clock does not show. */
 final class WallClock {
     static final long NANOS_PER_TENTH = 100_000;
     private static final long TENTHS_PER_SECOND = 10_000;
