--- a/src/main/java/tillerlink/Main.java
+++ b/src/main/java/tillerlink/Main.java
@@ -37,6 +37,9 @@
             System.err.println("tillerlink: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
         } catch (InterruptedException e) {
             System.err.println("tillerlink: interrupted");
+        } catch (RuntimeException | Error e) {
+            // Guards against a process that lives on without the thread that serves.
+            e.printStackTrace();
         }
         return FAULT;
     }
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -73,9 +73,15 @@
      */
     void sweep(long connectMost, long idleMost) {
         long now = gateway.now();
+        if (over) {
+            return;
+        }
         if (!open && now >= dialedAt + connectMost) {
             end(Break.NEVER_UP);
-            site.silent().forEach(link -> link.end(Break.SILENT));
+            for (EngineLink link : site.silent()) {
+                gateway.rarely("engine " + site.id + " is silent, " + link.flights.size() + " hops end in doubt");
+                link.end(Break.SILENT);
+            }
         } else if (flights.isEmpty() && now >= idleSince + idleMost) {
             retire();
         } else if (open && askedAt == 0 && !flights.isEmpty() && now >= heardAt + connectMost / 2) {
@@ -234,13 +240,14 @@
 
     @Override
     public void ended(Break how) {
-        if (!over) {
-            end(how);
-        }
+        end(how);
     }
 
     /** Ends the connection; each hop on it ends as that means for it. */
     void end(Break how) {
+        if (over) {
+            return;
+        }
         over = true;
         site.links.remove(this);
         gateway.linkEnded();
--- a/src/main/java/tillerlink/net/wire/Dns.java
+++ b/src/main/java/tillerlink/net/wire/Dns.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import tillerlink.model.Engine;
 
@@ -84,7 +85,7 @@
             Map<String, Map<String, String>> texts = new HashMap<>();
             long serial = -1;
             for (int i = two(6) + two(8) + two(10); i > 0; i--) {
-                String owner = name();
+                String owner = name().toLowerCase(Locale.ROOT);
                 int type = two(at);
                 int end = at + 10 + two(at + 8);
                 at += 10;
@@ -110,7 +111,8 @@
             }
             List<EngineEntry> entries = new ArrayList<>();
             for (Service service : services) {
-                entries.add(entry(service, addresses.get(service.target), texts.get(service.target)));
+                String owner = service.target.toLowerCase(Locale.ROOT);
+                entries.add(entry(service, addresses.get(owner), texts.get(owner)));
             }
             return new EngineNews(serial, true, entries);
         }
@@ -177,7 +179,7 @@
                     if (name.length() > 0) {
                         name.append('.');
                     }
-                    name.append(new String(m, from + 1, length, StandardCharsets.US_ASCII).toLowerCase());
+                    name.append(new String(m, from + 1, length, StandardCharsets.US_ASCII));
                     from += 1 + length;
                     if (name.length() > NAME_MOST) {
                         throw new IllegalArgumentException("a name too long");
--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -60,7 +60,8 @@
         s.say("quiet, but it works").pass(200).engine(0, "0 yes - 0||").say("quiet, and nobody is there").pass(600);
         s.connected(2).engine(2, ID + " ok count=1 6|a\t1\tx\n|");
         s.say("it does not say that it works, but a new connection comes up").fresh().post("c1", ID, "look").get("c1", ID)
-                .connected(0).pass(350).connected(1).post("c2", "00000000000000a2", "look").post("c2", "00000000000000a3", "look").post("c2", "00000000000000a4", "look");
+                .connected(0).pass(350).connected(1);
+        s.post("c2", "00000000000000a2", "look").post("c2", "00000000000000a3", "look").post("c2", "00000000000000a4", "look");
         s.say("a late answer is as good").engine(0, ID + " ok count=1 0||").say("a later answer to what is over is no fault")
                 .engine(0, ID + " progress - 0||").matches("net-silence");
     }
@@ -101,10 +102,13 @@
     @Test
     void newsOfTheNameService() {
         Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
-        s.say("the engine restarted under its name: new hops go over a new connection")
-                .news(5, "e1 ready 127.0.0.1:5050 east std 0 1700000000000").pass(16000).post("c2", "00000000000000a2", "look");
-        s.say("older news are dropped").news(4, "e9 ready 127.0.0.9:5050 east std 0 0").post("c2", "00000000000000a3", "look").post("c2", "00000000000000a4", "look");
-        s.say("another engine under its address").news(6, "e2 ready 127.0.0.1:5050 east std 0 0").post("c3", "00000000000000a4", "look");
+        s.say("the engine restarted under its name, the other is gone: a new connection")
+                .news(5, "e1 ready 127.0.0.1:5050 east std 0 1700000000000").engine(0, "0 yes - 0||")
+                .post("c2", "00000000000000a2", "look").connected(1);
+        s.say("older news are dropped").news(4, "e9 ready 127.0.0.9:5050 east std 0 0").engine(1, "0 yes - 0||")
+                .post("c2", "00000000000000a3", "look");
+        s.say("another engine under its address").news(6, "e2 ready 127.0.0.1:5050 east std 0 0")
+                .post("c3", "00000000000000a4", "look").connected(2);
         s.matches("net-news");
     }
 
