--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -66,6 +66,23 @@
                 .engine(0, ID + " progress - 0||").matches("net-silence");
     }
 
+    /** Guards against taking a pause of this machine for a silent engine. */
+    @Test
+    void stoodStill() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0).stall(3000);
+        s.say("what was said meanwhile is heard first").engine(0, ID + " progress tell=frac,reading=0.9 0||").matches("net-stood-still");
+    }
+
+    @Test
+    void aFullTableTurnsSubmissionsBack() {
+        Stage s = new Stage().quiet(true);
+        for (int i = 0; i < 4096; i++) {
+            s.post("c1", String.format("%016x", i), "look");
+        }
+        s.quiet(false).post("c1", "00000000000f00a1", "look").say("answers that nobody fetches are kept until their clients have gone");
+        s.quiet(true).pass(6000).quiet(false).post("c1", ID, "look").matches("net-full");
+    }
+
     @Test
     void clientsThatLeave() {
         Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
@@ -95,7 +112,9 @@
     @Test
     void pipelinedCallsAreReadWhenTheAnswerBeforeIsOut() {
         Stage s = new Stage().stuck();
-        s.client("c1", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n".repeat(3)).say("the first answer is out").letGo().matches("net-pipelined");
+        s.client("c1", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n".repeat(3)).say("the first answer is out").letGo();
+        s.say("a client that does not read").stuck().client("c2", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").pass(10050);
+        s.matches("net-pipelined");
     }
 
     /** Guards against sending to a process that is gone what was meant for the one that took its place. */
@@ -131,6 +150,7 @@
         private long now = START;
         private int query;
         private boolean stuck;
+        private boolean quiet;
         private Gateway gateway;
 
         Stage() {
@@ -237,6 +257,18 @@
             return this;
         }
 
+        /** Time passes and no turn is taken. */
+        Stage stall(long ms) {
+            now += ms * TENTHS;
+            return this;
+        }
+
+        /** Leaves what happens out of the trace. */
+        Stage quiet(boolean on) {
+            quiet = on;
+            return this;
+        }
+
         Stage turn(Runnable event) {
             gateway.begin(now);
             event.run();
@@ -253,6 +285,9 @@
         }
 
         private void print(String line) {
+            if (quiet) {
+                return;
+            }
             printed.append(String.format("%5d  %s%n", (now - START) / TENTHS, line));
         }
 
