--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -254,7 +254,7 @@
         }
         if (calls.size() >= Math.min(OPEN_MOST, terms.number("caps.max_open", OPEN_MOST)) || bytes > bytesMost) {
             rarely("no room for a further submission: " + calls.size() + " with " + bytes + " bytes");
-            client.answer(HttpAnswer.problem(503, "Full", 0));
+            client.answer(full(terms.flag("caps.retry_after") ? terms.number("caps.max_retry_after", 0) : 0));
             return;
         }
         Call call = new Call(ask, track, now);
@@ -425,7 +425,11 @@
 
     @Override
     public void turnBack(Submission submission, long comeBack) {
-        answer((Call) submission.tag, HttpAnswer.problem(503, "Full", comeBack / Units.TENTHS_PER_MS));
+        answer((Call) submission.tag, full(comeBack));
+    }
+
+    private static HttpAnswer full(long comeBack) {
+        return HttpAnswer.problem(503, "Full", comeBack / Units.TENTHS_PER_MS);
     }
 
     @Override
