--- /dev/null
+++ b/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -0,0 +1,244 @@
+package tillerlink.net.state;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tillerlink.model.Named;
+import tillerlink.net.wire.Ask;
+import tillerlink.net.wire.HttpAnswer;
+import tillerlink.net.wire.HttpCall;
+import tillerlink.net.wire.HttpFault;
+import tillerlink.net.wire.HttpItem;
+import tillerlink.plain.Units;
+
+/**
+ * What clients ask for and what they are owed. A submission is answered at once with the path of its result; the call
+ * of that path is held until there is news.
+ */
+final class ClientDoor {
+    private static final String CALLS = "/v1/calls/";
+    private static final String SUBMIT = "/v1/";
+    private static final String HEALTH = "/healthz";
+    private static final int OPEN_MOST = 4096;
+    private static final int HEAP_SHARE = 4;
+    private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
+    private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
+    private static final long STALLED_MOST = 10_000 * Units.TENTHS_PER_MS;
+
+    private final Gateway gateway;
+    private final Map<String, Integer> tracks = new HashMap<>();
+    private final Map<String, Call> calls = new LinkedHashMap<>();
+    private final Set<ClientLink> clients = new LinkedHashSet<>();
+    private final long openMost;
+    private final long comeBack;
+    private final long bytesMost = Runtime.getRuntime().maxMemory() / HEAP_SHARE;
+    private long bytes;
+    private boolean draining;
+
+    ClientDoor(Gateway gateway, Named terms) {
+        this.gateway = gateway;
+        for (int i = 0; i < terms.number("profiles", 0); i++) {
+            tracks.put(terms.text("profiles." + i + ".name"), i);
+        }
+        openMost = Math.min(OPEN_MOST, terms.number("caps.max_open", OPEN_MOST));
+        comeBack = terms.flag("caps.retry_after") ? terms.number("caps.max_retry_after", 0) : 0;
+    }
+
+    // ---- connections ----
+
+    ClientLink accepted(Pipe pipe) {
+        ClientLink client = new ClientLink(this, pipe);
+        clients.add(client);
+        return client;
+    }
+
+    void forget(ClientLink client) {
+        clients.remove(client);
+    }
+
+    /** Counts bytes that are kept for clients; beyond a share of the heap no submission is taken. */
+    void held(long more) {
+        bytes += more;
+    }
+
+    long now() {
+        return gateway.now();
+    }
+
+    // ---- calls ----
+
+    void called(ClientLink client, HttpItem item) {
+        if (item instanceof HttpFault fault) {
+            client.answer(HttpAnswer.problem(fault.status(), fault.cause(), 0).ending());
+            return;
+        }
+        HttpCall http = (HttpCall) item;
+        if (http.last()) {
+            client.lastCall();
+        }
+        String path = http.path();
+        switch (http.method()) {
+            case GET -> {
+                if (path.equals(HEALTH)) {
+                    client.answer(draining ? HttpAnswer.problem(503, "Draining", 0) : HttpAnswer.done());
+                } else {
+                    fetch(client, known(path));
+                }
+            }
+            case POST -> submit(client, http);
+            case DELETE -> {
+                Call call = known(path);
+                if (call != null) {
+                    leave(call);
+                }
+                client.answer(call == null ? HttpAnswer.unknown() : HttpAnswer.done());
+            }
+            default -> client.answer(HttpAnswer.problem(405, "Method", 0).ending());
+        }
+    }
+
+    private Call known(String path) {
+        return path.startsWith(CALLS) ? calls.get(path.substring(CALLS.length())) : null;
+    }
+
+    private void submit(ClientLink client, HttpCall http) {
+        Integer track = http.path().startsWith(SUBMIT) ? tracks.get(http.path().substring(SUBMIT.length())) : null;
+        if (track == null) {
+            client.answer(HttpAnswer.unknown());
+            return;
+        }
+        Ask ask;
+        try {
+            ask = Ask.of(http);
+        } catch (IllegalArgumentException e) {
+            client.answer(HttpAnswer.problem(400, e.getMessage(), 0));
+            return;
+        }
+        if (calls.containsKey(ask.id())) {
+            client.answer(HttpAnswer.problem(409, "Known", 0));
+        } else if (calls.size() >= openMost || bytes > bytesMost) {
+            gateway.rarely("no room for a further submission: " + calls.size() + " with " + bytes + " bytes");
+            client.answer(full(comeBack));
+        } else {
+            Call call = new Call(ask, track, now());
+            calls.put(ask.id(), call);
+            held(ask.statement().length);
+            client.handedIn(call);
+            client.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
+            gateway.arrived(call);
+        }
+    }
+
+    private void fetch(ClientLink client, Call call) {
+        if (call == null || call.left) {
+            client.answer(HttpAnswer.unknown());
+        } else if (call.answer != null) {
+            handOut(call, client);
+        } else {
+            stopWaiting(call);
+            call.waiting = client;
+            client.waitsFor = call;
+        }
+    }
+
+    /** Another call of the path, or none: the connection that waited is of no use any more. */
+    private static void stopWaiting(Call call) {
+        if (call.waiting != null) {
+            call.waiting.waitsFor = null;
+            call.waiting.drop();
+            call.waiting = null;
+        }
+    }
+
+    /** The client has gone; nothing is owed any more. */
+    void leave(Call call) {
+        if (!call.settled()) {
+            call.left = true;
+            call.forgetAt = now();
+            stopWaiting(call);
+            gateway.left(call);
+        }
+    }
+
+    // ---- answers ----
+
+    void fulfil(Call call, byte[] rows) {
+        answer(call, new HttpAnswer(200, rows, 0, false));
+    }
+
+    void turnBack(Call call, long stayAway) {
+        answer(call, full(stayAway));
+    }
+
+    void breakOff(Call call) {
+        answer(call, HttpAnswer.problem(500, "Error", 0));
+    }
+
+    private static HttpAnswer full(long stayAway) {
+        return HttpAnswer.problem(503, "Full", stayAway / Units.TENTHS_PER_MS);
+    }
+
+    private void answer(Call call, HttpAnswer answer) {
+        if (call.settled()) {
+            return;
+        }
+        call.answer = answer;
+        held(answer.body().length);
+        if (call.waiting != null) {
+            handOut(call, call.waiting);
+            call.waiting = null;
+        }
+    }
+
+    /** The answer stays for a moment: a client whose connection breaks comes again. */
+    private void handOut(Call call, ClientLink client) {
+        call.handedOut = true;
+        call.forgetAt = now();
+        client.answer(call.answer);
+    }
+
+    // ---- time ----
+
+    void sweep() {
+        for (Iterator<Call> i = calls.values().iterator(); i.hasNext();) {
+            Call call = i.next();
+            if (now() >= call.submission.leavesAt) {
+                gateway.overdue(call);
+            }
+            if (now() >= call.forgetAt + LINGER && call.settled() && call.submission.isOver()) {
+                held(-call.ask.statement().length);
+                held(call.answer == null ? 0 : -call.answer.body().length);
+                i.remove();
+            }
+        }
+        List.copyOf(clients).forEach(client -> client.sweep(STALLED_MOST, IDLE_MOST));
+    }
+
+    /** From now on the gateway is on its way out; it goes on serving what comes. */
+    void drain() {
+        draining = true;
+    }
+
+    /** Whether every answer is out. */
+    boolean allAnswered() {
+        return calls.values().stream().allMatch(call -> call.left || call.handedOut)
+                && clients.stream().noneMatch(ClientLink::sending);
+    }
+
+    /** The submissions that are owed an answer. */
+    List<Call> owed() {
+        List<Call> owed = new ArrayList<>(calls.values());
+        owed.removeIf(Call::settled);
+        return owed;
+    }
+
+    @Override
+    public String toString() {
+        return calls.size() + " submissions, " + clients.size() + " clients, " + bytes / 1024 + " KB held";
+    }
+}
--- a/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/src/main/java/tillerlink/net/state/ClientLink.java
@@ -10,7 +10,7 @@
     /** More than this beside a call in hand, and nothing further is read until that is answered. */
     private static final int PIPELINED_MOST = 16_384;
 
-    private final Gateway gateway;
+    private final ClientDoor door;
     private final Pipe pipe;
     private final HttpReader reader = new HttpReader();
     /** Sizes of what was written and is not yet out. */
@@ -25,10 +25,10 @@
     private Call handedIn;
     private long quietSince;
 
-    ClientLink(Gateway gateway, Pipe pipe) {
-        this.gateway = gateway;
+    ClientLink(ClientDoor door, Pipe pipe) {
+        this.door = door;
         this.pipe = pipe;
-        quietSince = gateway.now();
+        quietSince = door.now();
     }
 
     @Override
@@ -42,7 +42,7 @@
             return;
         }
         if (!reader.midway()) {
-            quietSince = gateway.now();
+            quietSince = door.now();
         }
         reader.feed(bytes);
         read();
@@ -50,9 +50,9 @@
 
     @Override
     public void written() {
-        gateway.held(-unsent.poll());
+        door.held(-unsent.poll());
         if (unsent.isEmpty()) {
-            quietSince = gateway.now();
+            quietSince = door.now();
             if (inHand && waitsFor == null) {
                 inHand = false;
                 read();
@@ -67,11 +67,11 @@
             waitsFor.waiting = null;
         }
         if (handedIn != null && !unsent.isEmpty()) {
-            gateway.leave(handedIn);
+            door.leave(handedIn);
         }
-        unsent.forEach(size -> gateway.held(-size));
+        unsent.forEach(size -> door.held(-size));
         unsent.clear();
-        gateway.forget(this);
+        door.forget(this);
     }
 
     private void read() {
@@ -83,7 +83,7 @@
             if (item != null) {
                 inHand = true;
                 handedIn = null;
-                gateway.called(this, item);
+                door.called(this, item);
             }
         }
         boolean hold = inHand && reader.waiting() > PIPELINED_MOST;
@@ -95,7 +95,7 @@
 
     private void write(byte[] bytes) {
         unsent.add(bytes.length);
-        gateway.held(bytes.length);
+        door.held(bytes.length);
         pipe.write(bytes);
     }
 
@@ -114,7 +114,7 @@
         }
         waitsFor = null;
         boolean last = lastCall || answer.last();
-        quietSince = gateway.now();
+        quietSince = door.now();
         write((last ? answer.ending() : answer).encoded());
         if (last) {
             over = true;
@@ -131,7 +131,7 @@
      * the one span, with nothing at all for the other. A call that waits for its answer may take its time.
      */
     void sweep(long stalledMost, long idleMost) {
-        long quiet = gateway.now() - quietSince;
+        long quiet = door.now() - quietSince;
         if (sending() || over) {
             if (quiet >= stalledMost) {
                 drop();
--- a/src/main/java/tillerlink/net/state/EngineList.java
+++ b/src/main/java/tillerlink/net/state/EngineList.java
@@ -47,10 +47,11 @@
         return place < 0 ? names.size() : place;
     }
 
-    /** Closes what leads to engines that are gone, and forgets them. */
-    void sweep() {
+    /** Looks after the connections; closes what leads to engines that are gone, and forgets these. */
+    void sweep(long connectMost, long idleMost) {
         for (Iterator<EngineSite> i = sites.values().iterator(); i.hasNext();) {
             EngineSite site = i.next();
+            List.copyOf(site.links).forEach(link -> link.sweep(connectMost, idleMost));
             if (site.engine.standing == Engine.Standing.GONE) {
                 site.retireAll();
                 if (site.links.isEmpty() && site.engine.out.isEmpty()) {
@@ -60,10 +61,6 @@
         }
     }
 
-    Iterable<EngineSite> all() {
-        return sites.values();
-    }
-
     int size() {
         return Math.max(1, sites.size());
     }
--- a/src/main/java/tillerlink/net/wire/HttpAnswer.java
+++ b/src/main/java/tillerlink/net/wire/HttpAnswer.java
@@ -18,6 +18,10 @@
         return of(200, "{\"continue\":\"" + path + "\"}", 0);
     }
 
+    public static HttpAnswer unknown() {
+        return problem(404, "Unknown", 0);
+    }
+
     public static HttpAnswer problem(int status, String problem, long comeBack) {
         return of(status, "{\"problem\":\"" + problem + "\"}", comeBack);
     }
