Never wait for the queue on the thread that empties it; a refused connection ends silent ones too

Found by reading: a connection that is refused at once ends its future on the thread that dials, and MinaDriver.post then waited for room in a queue that only that thread empties. Now only reads wait, by permits, on MINA's thread alone; other events are bounded by connections and writes. A write that throws no longer makes the turn's other writes go out twice (MinaDriver.flush cleared its list only at the end). EngineLink.end: a refused new connection proves as much as one that never came up.

--- a/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -4,9 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.BlockingQueue;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -27,8 +27,7 @@
 import tillerlink.net.state.Pipe;
 
 /**
- * Reads and writes by Apache MINA. Its threads only post what came to the queue of the thread that owns the state;
- * while that queue is full they wait, and so nothing more is read.
+ * Reads and writes by Apache MINA. Its threads only post what came to the queue of the thread that owns the state.
  */
 public final class MinaDriver implements Driver {
     private static final int READ_MOST = 8192;
@@ -36,17 +35,21 @@
     private static final int BACKLOG = 256;
     private static final String PIPE = "pipe";
 
-    private final BlockingQueue<Runnable> queue;
+    /** Pieces read and not yet taken; the other events are bounded by the connections and by what was written. */
+    private static final int READS_MOST = 1024;
+
+    private final Queue<Runnable> queue;
+    private final Semaphore reads = new Semaphore(READS_MOST);
     private final Consumer<byte[]> datagrams;
     private final InetSocketAddress nameService;
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector;
     private final NioDatagramConnector asker;
-    private final List<Runnable> pending = new ArrayList<>();
+    private final ArrayDeque<Runnable> pending = new ArrayDeque<>();
     private volatile IoSession asking;
     private boolean askerDialing;
 
-    public MinaDriver(BlockingQueue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
+    public MinaDriver(Queue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
                       Function<Pipe, Pipe.Owner> accepted, int clientsMost) {
         this.queue = queue;
         this.nameService = nameService;
@@ -91,7 +94,7 @@
             pipe.future = future;
             future.addListener(done -> {
                 if (future.getException() != null) {
-                    post(() -> pipe.owner.ended(Break.REFUSED));
+                    queue.add(() -> pipe.owner.ended(Break.REFUSED));
                 }
             });
         });
@@ -111,32 +114,25 @@
                     asking = future.getSession();
                     asking.write(IoBuffer.wrap(datagram));
                 }
-                post(() -> askerDialing = false);
+                queue.add(() -> askerDialing = false);
             });
         }
     }
 
     @Override
     public void flush() {
-        for (int i = 0; i < pending.size(); i++) {
-            pending.get(i).run();
+        for (Runnable write = pending.poll(); write != null; write = pending.poll()) {
+            write.run();
         }
-        pending.clear();
     }
 
-    private void post(Runnable event) {
-        boolean interrupted = false;
-        while (true) {
-            try {
-                queue.put(event);
-                break;
-            } catch (InterruptedException e) {
-                interrupted = true;
-            }
-        }
-        if (interrupted) {
-            Thread.currentThread().interrupt();
-        }
+    /** Guards the memory: while too much waits to be taken, MINA's thread waits here, and so nothing more is read. */
+    private void postRead(Runnable event) {
+        reads.acquireUninterruptibly();
+        queue.add(() -> {
+            reads.release();
+            event.run();
+        });
     }
 
     private static byte[] taken(Object message) {
@@ -201,20 +197,20 @@
         public void sessionOpened(IoSession session) {
             MinaPipe pipe = pipe(session);
             pipe.session = session;
-            post(() -> pipe.owner.opened());
+            queue.add(() -> pipe.owner.opened());
         }
 
         @Override
         public void messageReceived(IoSession session, Object message) {
             MinaPipe pipe = pipe(session);
             byte[] bytes = taken(message);
-            post(() -> pipe.owner.fed(bytes));
+            postRead(() -> pipe.owner.fed(bytes));
         }
 
         @Override
         public void messageSent(IoSession session, Object message) {
             MinaPipe pipe = pipe(session);
-            post(() -> pipe.owner.written());
+            queue.add(() -> pipe.owner.written());
         }
 
         @Override
@@ -227,7 +223,7 @@
         public void sessionClosed(IoSession session) {
             MinaPipe pipe = pipe(session);
             Break how = session.containsAttribute(CAUSE) ? Break.RESET : Break.CLOSED_BY_PEER;
-            post(() -> pipe.owner.ended(how));
+            queue.add(() -> pipe.owner.ended(how));
         }
 
         MinaPipe pipe(IoSession session) {
@@ -276,7 +272,7 @@
             MinaPipe pipe = new MinaPipe();
             pipe.session = session;
             session.setAttribute(PIPE, pipe);
-            post(() -> pipe.owner = accepted.apply(pipe));
+            queue.add(() -> pipe.owner = accepted.apply(pipe));
         }
     }
 
@@ -284,7 +280,7 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             byte[] bytes = taken(message);
-            post(() -> datagrams.accept(bytes));
+            postRead(() -> datagrams.accept(bytes));
         }
 
         @Override
--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -66,7 +66,7 @@
     /** SIGTERM came: waits until the last answer is out. */
     private void drain() {
         LOG.info("draining");
-        turns.queue.offer(() -> {
+        turns.queue.add(() -> {
             drainedFrom = clock.now();
             gateway.drain();
         });
--- a/src/main/java/tillerlink/net/life/Turns.java
+++ b/src/main/java/tillerlink/net/life/Turns.java
@@ -1,7 +1,7 @@
 package tillerlink.net.life;
 
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -11,12 +11,11 @@
 /** The one thread that owns module and state, and its queue. */
 final class Turns {
     private static final Logger LOG = LoggerFactory.getLogger(Turns.class);
-    private static final int QUEUED_MOST = 1024;
     private static final int EVENTS_MOST = 256;
     private static final long STOOD_STILL = 100 * Units.TENTHS_PER_MS;
     private static final long CATCH_UP = 20 * Units.TENTHS_PER_MS;
 
-    final BlockingQueue<Runnable> queue = new ArrayBlockingQueue<>(QUEUED_MOST);
+    final BlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final WallClock clock;
 
     Turns(WallClock clock) {
--- a/src/main/java/tillerlink/net/state/Break.java
+++ b/src/main/java/tillerlink/net/state/Break.java
@@ -8,7 +8,7 @@
     REFUSED,
     /** It did not come up in time. */
     NEVER_UP,
-    /** It did not say that it works, and a new one to the same place did not come up. */
+    /** It did not say that it works, and a new one to the same place failed. */
     SILENT,
     RESET,
     CLOSED_BY_PEER,
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -68,8 +68,7 @@
      * Ends what did not come up or lies idle, sooner than the engine would: a hop must not meet its close. Guards
      * also against a machine that vanished, behind which connections stay open and silent: one with hops on which
      * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
-     * no more hops and a new connection is tried; if that does not come up either, nobody is there, and the hops end
-     * in doubt. It should hold against any cut; it may hurt where a network loses everything for half a second.
+     * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt. It should hold against any cut; it may hurt where a network loses everything for half a second.
      */
     void sweep(long connectMost, long idleMost) {
         long now = gateway.now();
@@ -78,10 +77,6 @@
         }
         if (!open && now >= dialedAt + connectMost) {
             end(Break.NEVER_UP);
-            for (EngineLink link : site.silent()) {
-                gateway.rarely("engine " + site.id + " is silent, " + link.flights.size() + " hops end in doubt");
-                link.end(Break.SILENT);
-            }
         } else if (flights.isEmpty() && now >= idleSince + idleMost) {
             retire();
         } else if (open && askedAt == 0 && !flights.isEmpty() && now >= heardAt + connectMost / 2) {
@@ -260,5 +255,11 @@
         for (Flight flight : all) {
             gateway.ended(flight, how.outcome(flight.place <= writesDone));
         }
+        if (how == Break.REFUSED || how == Break.NEVER_UP) {
+            for (EngineLink link : site.silent()) {
+                gateway.rarely("engine " + site.id + " is silent, " + link.flights.size() + " hops end in doubt");
+                link.end(Break.SILENT);
+            }
+        }
     }
 }
--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -59,6 +59,8 @@
         Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
         s.say("quiet, but it works").pass(200).engine(0, "0 yes - 0||").say("quiet, and nobody is there").pass(600);
         s.connected(2).engine(2, ID + " ok count=1 6|a\t1\tx\n|");
+        s.say("quiet, and nobody listens any more").fresh().post("c1", ID, "look").get("c1", ID).connected(0).pass(350)
+                .ends(1, Break.REFUSED);
         s.say("it does not say that it works, but a new connection comes up").fresh().post("c1", ID, "look").get("c1", ID)
                 .connected(0).pass(350).connected(1);
         s.post("c2", "00000000000000a2", "look").post("c2", "00000000000000a3", "look").post("c2", "00000000000000a4", "look");
