--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -23,7 +23,7 @@
     private static final long FLUSHED_AFTER = 50;
 
     private final WallClock clock = new WallClock();
-    private final Turns turns = new Turns(clock);
+    private final Turns turns = new Turns(clock::now);
     private final CountDownLatch ended = new CountDownLatch(1);
     private Gateway gateway;
     private long drainedFrom = Long.MAX_VALUE;
--- a/src/main/java/tillerlink/net/life/Turns.java
+++ b/src/main/java/tillerlink/net/life/Turns.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tillerlink.net.state.Gateway;
@@ -16,23 +18,23 @@
     private static final long CATCH_UP = 20 * Units.TENTHS_PER_MS;
 
     final BlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
-    private final WallClock clock;
+    private final LongSupplier clock;
 
-    Turns(WallClock clock) {
+    Turns(LongSupplier clock) {
         this.clock = clock;
     }
 
     /** Takes turns until told that it is done. */
-    void run(Gateway gateway, java.util.function.BooleanSupplier done) throws InterruptedException {
+    void run(Gateway gateway, BooleanSupplier done) throws InterruptedException {
         while (!done.getAsBoolean()) {
             long dueAt = gateway.dueAt();
-            Runnable first = await(dueAt - clock.now());
+            Runnable first = await(dueAt - clock.getAsLong());
             // Guards against taking a pause of this machine for a silent engine: what engines said meanwhile may
             // still be unread, and is heard before anything that is due.
-            if (first == null && clock.now() > dueAt + STOOD_STILL) {
+            if (first == null && clock.getAsLong() > dueAt + STOOD_STILL) {
                 first = await(CATCH_UP);
             }
-            guarded(() -> gateway.begin(clock.now()));
+            guarded(() -> gateway.begin(clock.getAsLong()));
             int events = 0;
             for (Runnable event = first; event != null; event = ++events < EVENTS_MOST ? queue.poll() : null) {
                 guarded(event);
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -68,7 +68,8 @@
      * Ends what did not come up or lies idle, sooner than the engine would: a hop must not meet its close. Guards
      * also against a machine that vanished, behind which connections stay open and silent: one with hops on which
      * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
-     * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt. It should hold against any cut; it may hurt where a network loses everything for half a second.
+     * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt.
+     * It should hold against any cut; it may hurt where a network loses everything for half a second.
      */
     void sweep(long connectMost, long idleMost) {
         long now = gateway.now();
