--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -18,6 +18,7 @@
     /** Hops that ended here lately: an answer to one of these crossed our word and is no fault. */
     private static final int ENDED_KEPT = 512;
     private static final int PAGES_MOST = 64;
+    private static final int RESULT_MOST = 131_072;
     private static final String TAG = "0";
 
     final EngineSite site;
@@ -185,6 +186,7 @@
         switch (answer.word()) {
             case OK -> begin(flight, answer);
             case BATCH -> {
+                keep(flight, answer);
                 if (!flight.take(answer.number(), answer.body())) {
                     throw new IllegalArgumentException("a page out of turn");
                 }
@@ -216,6 +218,7 @@
         if (flight.pages != null || pages > PAGES_MOST) {
             throw new IllegalArgumentException("a second result, or one of " + pages + " pages");
         }
+        keep(flight, answer);
         flight.pages = new byte[pages][];
         flight.pages[0] = answer.body();
         flight.missing = pages - 1;
@@ -225,6 +228,14 @@
         finish(flight);
     }
 
+    private void keep(Flight flight, EngineAnswer answer) {
+        flight.bytes += answer.body().length;
+        gateway.held(answer.body().length);
+        if (flight.bytes > RESULT_MOST) {
+            throw new IllegalArgumentException("a result too long");
+        }
+    }
+
     private void finish(Flight flight) {
         if (flight.missing == 0) {
             if (flight.pages.length > 1) {
--- a/src/main/java/tillerlink/net/state/Flight.java
+++ b/src/main/java/tillerlink/net/state/Flight.java
@@ -11,6 +11,8 @@
     long place = Long.MAX_VALUE;
     byte[][] pages;
     int missing;
+    /** Bytes of the pages that have come. */
+    int bytes;
     boolean over;
 
     Flight(Hop hop, Call call) {
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -136,6 +136,11 @@
         call.flights.forEach(flight -> ended(flight, Outcome.OVERDUE));
     }
 
+    /** Counts bytes that are kept for clients. */
+    void held(long more) {
+        clients.held(more);
+    }
+
     long millisLeft(Call call) {
         return Math.max(1, (call.submission.leavesAt - now) / Units.TENTHS_PER_MS);
     }
@@ -159,6 +164,7 @@
             clients.fulfil(flight.call, Rows.answer(flight.pages));
         }
         flight.pages = null;
+        held(-flight.bytes);
         long lag = now - flight.hop.sentAt;
         steering.ended(now, flight.hop, outcome, lag, flight.call.settled(), 0, 0, null);
         unsettled = true;
