--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -52,7 +52,6 @@
     private static final double BAD_PLAN = 4; // a hop projected at this many times the usual has a bad plan
     private static final double UNKNOWN = 2; // times the usual while too little of a track was seen
     private static final double LEAST_SHARE = 0.005;
-    private static final double FOR_LOAD = 2; // a note's word for waiting until another's load has ended
     // Cold engines.
     private static final double COLD_USE = 0.35; // share of the stated limit for all gateways together
     private static final double COLD_ROOM = 2; // room for a hop, in times of its work: estimates scatter
@@ -229,8 +228,6 @@
         if (note == Note.PROGRESS) {
             hop.share = level;
             judgeProgress(now, hop);
-        } else if (note == Note.WAITS && level == FOR_LOAD && hop.number == 0 && mayHopOn(now, hop.submission)) {
-            callOff(hop);
         }
     }
 
@@ -890,7 +887,8 @@
         long age = now - hop.sentAt;
         double projected = age / Math.max(LEAST_SHARE, hop.share);
         Track track = hop.submission.track;
-        double usual = (track.bestPace > 0 ? 1 : UNKNOWN) * hop.nominal
+        double known = track.bestPace > 0 ? 1 : UNKNOWN;
+        double usual = known * hop.nominal
                 * Math.max(track.pace.at(now), track.best() * Math.max(1, hop.engine.pace.at(now)));
         double pace = projected / hop.nominal / hop.submission.track.best();
         hop.engine.pace.add(now, Math.min(PACE_CAP, pace), 0.5);
