--- a/src/main/java/tillerlink/net/wire/Bytes.java
+++ b/src/main/java/tillerlink/net/wire/Bytes.java
@@ -15,11 +15,16 @@
             to = more.length;
             return;
         }
-        byte[] joined = Arrays.copyOfRange(kept, from, to + more.length);
-        System.arraycopy(more, 0, joined, to - from, more.length);
-        to = joined.length;
-        from = 0;
-        kept = joined;
+        if (kept.length - to < more.length) {
+            // Room for as much again: a message that comes byte by byte must not be copied as often.
+            byte[] roomy = new byte[Math.max(2 * size(), size() + more.length)];
+            System.arraycopy(kept, from, roomy, 0, size());
+            to = size();
+            from = 0;
+            kept = roomy;
+        }
+        System.arraycopy(more, 0, kept, to, more.length);
+        to += more.length;
     }
 
     int size() {
