--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -50,6 +50,7 @@
                 ID + " batch pos=1 0||")) {
             s.say("it can't be read").fresh().post("c1", ID, "book").get("c1", ID).connected(0).engine(0, bad);
         }
+        s.say("nobody is there any more").fresh().post("c1", ID, "book").get("c1", ID).connected(0).pass(800);
         s.say("a result without end").fresh().post("c1", ID, "book").get("c1", ID).connected(0);
         String page = " 60000|" + "x".repeat(60000) + "|";
         s.engine(0, ID + " ok count=4" + page).engine(0, ID + " batch pos=1" + page).engine(0, ID + " batch pos=2" + page);
