Share the wire's checks of digits, its joining of bytes and the reading of a query's id

Ask, HttpReader, EngineReader and Statement each had the same test for digits or letters; HttpAnswer and EngineCommand joined head and body each by hand; the state read a DNS id out of the bytes that Dns reads. Now Ascii, Bytes.joined and Dns.id. Doubled headers are found by looking, no longer by comparing references.

--- a/src/main/java/tillerlink/net/state/NameService.java
+++ b/src/main/java/tillerlink/net/state/NameService.java
@@ -35,7 +35,7 @@
 
     /** @throws IllegalArgumentException if the datagram is of no use; the message says why */
     EngineNews take(byte[] datagram) {
-        int id = datagram.length < 2 ? -1 : (datagram[0] & 255) << 8 | datagram[1] & 255;
+        int id = Dns.id(datagram);
         if (!asked.remove((Integer) id)) {
             throw new IllegalArgumentException("an answer to no question of ours");
         }
--- a/src/main/java/tillerlink/net/wire/Ask.java
+++ b/src/main/java/tillerlink/net/wire/Ask.java
@@ -39,7 +39,7 @@
     }
 
     private static boolean plain(int c) {
-        return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.';
+        return Ascii.letterOrDigit(c) || c == '-' || c == '_' || c == '.';
     }
 
     private static double amount(HttpCall call, String name) {
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -59,12 +59,10 @@
                 case "DRAINING" -> Engine.Standing.DRAINING;
                 default -> Engine.Standing.GONE;
             };
-            String address = one.get("address") instanceof String text ? text : "0.0.0.0:0";
-            int colon = address.lastIndexOf(':');
-            entries.add(new EngineEntry(text(one, "name"), address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1)), String.valueOf(one.get("zone")),
-                    String.valueOf(one.get("type")), number(one, "group", 0).intValue(), standing,
-                    number(one, "weight", 1).doubleValue(), number(one, "since_ms", 0).longValue()));
+            InetSocketAddress at = address(one.get("address") instanceof String text ? text : "0.0.0.0:0");
+            entries.add(new EngineEntry(text(one, "name"), at.getHostString(), at.getPort(),
+                    String.valueOf(one.get("zone")), String.valueOf(one.get("type")),
+                    number(one, "group", 0).intValue(), standing, number(one, "weight", 1).doubleValue(), number(one, "since_ms", 0).longValue()));
         }
         boolean whole = Boolean.TRUE.equals(told.get("snapshot"));
         return new EngineNews(number(update, "index", 0).longValue(), whole, entries);
--- a/src/main/java/tillerlink/net/wire/Bytes.java
+++ b/src/main/java/tillerlink/net/wire/Bytes.java
@@ -1,5 +1,6 @@
 package tillerlink.net.wire;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /** Bytes that were fed and not yet taken. */
@@ -27,6 +28,16 @@
         to += more.length;
     }
 
+    static byte[] joined(byte[]... parts) {
+        byte[] whole = new byte[Arrays.stream(parts).mapToInt(part -> part.length).sum()];
+        int at = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, whole, at, part.length);
+            at += part.length;
+        }
+        return whole;
+    }
+
     int size() {
         return to - from;
     }
@@ -52,7 +63,7 @@
     }
 
     String text(int count) {
-        return new String(kept, from, count, java.nio.charset.StandardCharsets.ISO_8859_1);
+        return new String(kept, from, count, StandardCharsets.ISO_8859_1);
     }
 
     void skip(int count) {
--- a/src/main/java/tillerlink/net/wire/Dns.java
+++ b/src/main/java/tillerlink/net/wire/Dns.java
@@ -11,7 +11,7 @@
 
 /** The name service's messages (RFC 1035, RFC 2782). */
 public final class Dns {
-    public static final String POOL = "_back._tcp.pool.lan";
+    private static final String POOL = "_back._tcp.pool.lan";
 
     private static final int HEAD = 12;
     private static final int TYPE_A = 1;
@@ -44,6 +44,15 @@
         return out.toByteArray();
     }
 
+    /** Which query a message answers, or -1 if it is too short to tell. */
+    public static int id(byte[] message) {
+        return message.length < 2 ? -1 : two(message, 0);
+    }
+
+    private static int two(byte[] message, int place) {
+        return (message[place] & 255) << 8 | message[place + 1] & 255;
+    }
+
     private record Service(String target, int priority, int weight, int port) {
     }
 
@@ -190,7 +199,7 @@
         }
 
         private int two(int place) {
-            return (m[place] & 255) << 8 | m[place + 1] & 255;
+            return Dns.two(m, place);
         }
     }
 }
--- a/src/main/java/tillerlink/net/wire/EngineCommand.java
+++ b/src/main/java/tillerlink/net/wire/EngineCommand.java
@@ -11,11 +11,7 @@
     public static byte[] want(String id, String track, long limit, String key, byte[] statement) {
         byte[] head = ascii("want " + id + " cls=" + track + ",limit=" + limit + (key == null ? "" : ",nonce=" + key)
                 + " " + statement.length + "\r\n");
-        byte[] whole = java.util.Arrays.copyOf(head, head.length + statement.length + 2);
-        System.arraycopy(statement, 0, whole, head.length, statement.length);
-        whole[whole.length - 2] = '\r';
-        whole[whole.length - 1] = '\n';
-        return whole;
+        return Bytes.joined(head, statement, ascii("\r\n"));
     }
 
     public static byte[] neverMind(String id) {
--- a/src/main/java/tillerlink/net/wire/EngineReader.java
+++ b/src/main/java/tillerlink/net/wire/EngineReader.java
@@ -1,7 +1,5 @@
 package tillerlink.net.wire;
 
-import java.nio.charset.StandardCharsets;
-
 /** Makes answers of the bytes of one engine connection; knows no socket. */
 public final class EngineReader {
     private static final int LINE_MOST = 1024;
@@ -97,7 +95,7 @@
     }
 
     private static int whole(String text) {
-        if (text.isEmpty() || text.length() > 9 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        if (text.length() > 9 || !Ascii.digits(text)) {
             throw new IllegalArgumentException("not a whole number");
         }
         return Integer.parseInt(text);
--- a/src/main/java/tillerlink/net/wire/HttpAnswer.java
+++ b/src/main/java/tillerlink/net/wire/HttpAnswer.java
@@ -44,9 +44,7 @@
             head.append("\r\nConnection: close");
         }
         byte[] start = head.append("\r\n\r\n").toString().getBytes(StandardCharsets.US_ASCII);
-        byte[] whole = java.util.Arrays.copyOf(start, start.length + body.length);
-        System.arraycopy(body, 0, whole, start.length, body.length);
-        return whole;
+        return Bytes.joined(start, body);
     }
 
     /** The word for a client that asks before it sends a body. */
--- a/src/main/java/tillerlink/net/wire/HttpReader.java
+++ b/src/main/java/tillerlink/net/wire/HttpReader.java
@@ -1,6 +1,7 @@
 package tillerlink.net.wire;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /** Makes calls of the bytes of one client connection (RFC 9112); knows no socket. */
@@ -87,7 +88,7 @@
             throw new Fault(400, "no Host");
         }
         bodyLength = bodyLength(fields);
-        String connection = fields.getOrDefault("connection", "").toLowerCase(java.util.Locale.ROOT);
+        String connection = fields.getOrDefault("connection", "").toLowerCase(Locale.ROOT);
         head = new HttpCall(method(words[0]), path(words[1]), fields, new byte[0],
                 old ? !connection.contains("keep-alive") : connection.contains("close"));
         goOnWanted = "100-continue".equalsIgnoreCase(fields.get("expect")) && bytes.size() < bodyLength;
@@ -130,11 +131,12 @@
             if (!name.chars().allMatch(HttpReader::inName) || value.chars().anyMatch(c -> c < ' ' && c != '\t')) {
                 throw new Fault(400, "header line");
             }
-            String small = name.toLowerCase(java.util.Locale.ROOT);
+            String small = name.toLowerCase(Locale.ROOT);
             boolean single = small.startsWith("x-") || small.equals("host") || small.startsWith("content-");
-            if (fields.merge(small, value, (one, two) -> one + ", " + two) != value && single) {
+            if (single && fields.containsKey(small)) {
                 throw new Fault(400, "doubled header " + small);
             }
+            fields.merge(small, value, (one, two) -> one + ", " + two);
         }
         return fields;
     }
@@ -144,7 +146,7 @@
             throw new Fault(411, "body without a length");
         }
         String text = fields.getOrDefault("content-length", "0");
-        if (text.isEmpty() || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        if (!Ascii.digits(text)) {
             throw new Fault(400, "Content-Length");
         }
         if (text.length() > 9 || Integer.parseInt(text) > BODY_MOST) {
@@ -180,7 +182,7 @@
     }
 
     private static boolean inName(int c) {
-        return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || MARKS.indexOf(c) >= 0;
+        return Ascii.letterOrDigit(c) || MARKS.indexOf(c) >= 0;
     }
 
     private static final class Fault extends RuntimeException {
--- a/src/main/java/tillerlink/net/wire/Statement.java
+++ b/src/main/java/tillerlink/net/wire/Statement.java
@@ -39,8 +39,8 @@
     private static int group(String name) {
         int underscore = name.lastIndexOf('_');
         String digits = name.substring(underscore + 1);
-        if (underscore <= 0 || digits.isEmpty() || digits.length() > 9 || name.substring(0, underscore).equals(SCRATCH)
-                || !digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        if (underscore <= 0 || digits.length() > 9 || !Ascii.digits(digits)
+                || name.substring(0, underscore).equals(SCRATCH)) {
             return 0;
         }
         return Integer.parseInt(digits);
