Derive what is unsent and what is over instead of keeping it twice

EngineLink kept a queue of the hops that wait for its connection beside the flights whose place is not yet given: the place tells it.

--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -1,7 +1,5 @@
 package tillerlink.net.state;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,7 +25,6 @@
     private final EngineReader reader = new EngineReader();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
     private final Set<String> ended = new LinkedHashSet<>();
-    private final ArrayDeque<Flight> unsent = new ArrayDeque<>();
     private Pipe pipe;
     private boolean open;
     private boolean over;
@@ -99,8 +96,6 @@
         flights.put(flight.call.ask.id(), flight);
         if (open) {
             want(flight);
-        } else {
-            unsent.add(flight);
         }
     }
 
@@ -117,7 +112,7 @@
 
     /** Gives a hop up; what that proves. */
     Outcome giveUp(Flight flight) {
-        boolean sent = !unsent.remove(flight);
+        boolean sent = flight.place != Flight.UNSENT;
         if (sent && !over) {
             write(EngineCommand.neverMind(flight.call.ask.id()));
         }
@@ -126,7 +121,6 @@
 
     /** A hop is over: nothing more of it is expected here. */
     void release(Flight flight) {
-        unsent.remove(flight);
         if (flights.remove(flight.call.ask.id(), flight)) {
             ended.add(flight.call.ask.id());
             if (ended.size() > ENDED_KEPT) {
@@ -146,9 +140,7 @@
         }
         open = true;
         heardAt = gateway.now();
-        while (!unsent.isEmpty()) {
-            want(unsent.poll());
-        }
+        flights.values().forEach(this::want);
     }
 
     @Override
@@ -263,8 +255,7 @@
         } else {
             pipe.drop();
         }
-        List<Flight> all = new ArrayList<>(flights.values());
-        for (Flight flight : all) {
+        for (Flight flight : List.copyOf(flights.values())) {
             gateway.ended(flight, how.outcome(flight.place <= writesDone));
         }
         if (how == Break.REFUSED || how == Break.NEVER_UP) {
--- a/src/main/java/tillerlink/net/state/Flight.java
+++ b/src/main/java/tillerlink/net/state/Flight.java
@@ -4,16 +4,18 @@
 
 /** A hop on its way: the connection that bears it, and the pages of its result that have come. */
 final class Flight {
+    /** While its connection is not up. */
+    static final long UNSENT = Long.MAX_VALUE;
+
     final Hop hop;
     final Call call;
     EngineLink link;
     /** Its place among the writes of its connection; none of it has been written before that one is. */
-    long place = Long.MAX_VALUE;
+    long place = UNSENT;
     byte[][] pages;
     int missing;
     /** Bytes of the pages that have come. */
     int bytes;
-    boolean over;
 
     Flight(Hop hop, Call call) {
         this.hop = hop;
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -153,10 +153,9 @@
     }
 
     void ended(Flight flight, Outcome outcome) {
-        if (flight.over) {
+        if (!flight.hop.isOut()) {
             return;
         }
-        flight.over = true;
         if (flight.link != null) {
             flight.link.release(flight);
         }
@@ -240,7 +239,7 @@
     @Override
     public void callOff(Hop hop) {
         Flight flight = ((Call) hop.submission.tag).flights.get(hop.number);
-        if (!flight.over && flight.link != null) {
+        if (hop.isOut() && flight.link != null) {
             Outcome outcome = flight.link.giveUp(flight);
             next.add(() -> ended(flight, outcome));
         }
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -62,7 +62,8 @@
             InetSocketAddress at = address(one.get("address") instanceof String text ? text : "0.0.0.0:0");
             entries.add(new EngineEntry(text(one, "name"), at.getHostString(), at.getPort(),
                     String.valueOf(one.get("zone")), String.valueOf(one.get("type")),
-                    number(one, "group", 0).intValue(), standing, number(one, "weight", 1).doubleValue(), number(one, "since_ms", 0).longValue()));
+                    number(one, "group", 0).intValue(), standing, number(one, "weight", 1).doubleValue(),
+                    number(one, "since_ms", 0).longValue()));
         }
         boolean whole = Boolean.TRUE.equals(told.get("snapshot"));
         return new EngineNews(number(update, "index", 0).longValue(), whole, entries);
