--- a/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -41,12 +41,12 @@
     private final Queue<Runnable> queue;
     private final Semaphore reads = new Semaphore(READS_MOST);
     private final Consumer<byte[]> datagrams;
-    private final InetSocketAddress nameService;
+    private InetSocketAddress nameService;
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector;
     private final NioDatagramConnector asker;
     private final ArrayDeque<Runnable> pending = new ArrayDeque<>();
-    private volatile IoSession asking;
+    private IoSession asking;
     private boolean askerDialing;
 
     public MinaDriver(Queue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
@@ -103,20 +103,32 @@
 
     @Override
     public void ask(byte[] datagram) {
-        IoSession session = asking;
-        if (session != null && session.isConnected()) {
-            session.write(IoBuffer.wrap(datagram));
+        if (asking != null && asking.isConnected()) {
+            asking.write(IoBuffer.wrap(datagram));
         } else if (!askerDialing) {
             askerDialing = true;
-            asker.connect(nameService).addListener(done -> {
-                ConnectFuture future = (ConnectFuture) done;
-                if (future.isConnected()) {
-                    asking = future.getSession();
-                    asking.write(IoBuffer.wrap(datagram));
-                }
-                queue.add(() -> askerDialing = false);
-            });
+            InetSocketAddress to = nameService;
+            asker.connect(to).addListener(done -> queue.add(() -> dialed((ConnectFuture) done, to, datagram)));
+        }
+    }
+
+    private void dialed(ConnectFuture future, InetSocketAddress to, byte[] datagram) {
+        askerDialing = false;
+        if (future.isConnected() && to.equals(nameService)) {
+            asking = future.getSession();
+            asking.write(IoBuffer.wrap(datagram));
+        } else if (future.isConnected()) {
+            future.getSession().closeNow();
+        }
+    }
+
+    /** From now on the name service is asked at that address; called in a turn. */
+    public void askAt(InetSocketAddress address) {
+        if (asking != null && !address.equals(nameService)) {
+            asking.closeNow();
+            asking = null;
         }
+        nameService = address;
     }
 
     @Override
--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -1,11 +1,13 @@
 package tillerlink.net.life;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 import tillerlink.net.io.MinaDriver;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
@@ -36,10 +38,12 @@
         if (file == null) {
             throw new IOException("EDGE_CONFIG names no file");
         }
-        Assignment assignment = Assignment.read(Path.of(file));
+        Path path = Path.of(file);
+        Assignment assignment = Assignment.read(path);
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now());
+        Signal.handle(new Signal("HUP"), signal -> reload(path, driver));
         driver.listen(assignment.listen());
         LOG.info("{} listens on {}", assignment.name(), assignment.listen());
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
@@ -50,6 +54,20 @@
         }
     }
 
+    /**
+     * SIGHUP came: the name service is asked where the configuration says now; all else goes on. Runs on a thread of
+     * the signal's own, one after the other: of two that come at once, the later reading holds.
+     */
+    private synchronized void reload(Path path, MinaDriver driver) {
+        try {
+            InetSocketAddress resolver = Assignment.read(path).resolver();
+            turns.queue.add(() -> driver.askAt(resolver));
+            LOG.info("configuration read again, the name service is asked at {}", resolver);
+        } catch (IOException e) {
+            LOG.warn("configuration not taken, all stays as it was: {}", e.toString());
+        }
+    }
+
     private boolean done() {
         long drained = clock.now() - drainedFrom;
         if (drainedFrom == Long.MAX_VALUE || drained < STILL_COMING) {
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -74,7 +74,12 @@
         if (colon <= 0) {
             throw new IllegalArgumentException("not an address with a port: " + text);
         }
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        InetSocketAddress address =
+                new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        if (address.isUnresolved()) {
+            throw new IllegalArgumentException("not an address with a port: " + text);
+        }
+        return address;
     }
 
     private static String text(Map<String, Object> from, String name) {
--- a/src/test/java/tillerlink/ServeTest.java
+++ b/src/test/java/tillerlink/ServeTest.java
@@ -116,6 +116,33 @@
         }
     }
 
+    /** Guards against a gateway that ends on SIGHUP, or that goes on asking where nobody answers any more. */
+    @Test
+    void readsItsConfigurationAgain() throws Exception {
+        Process gateway = start(configuration());
+        awaitHealth();
+        names.close();
+        names = new DatagramSocket(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+        names.setSoTimeout((int) PATIENCE.toMillis());
+        Files.writeString(folder.resolve("configuration.json"), configuration());
+        hangUp(gateway);
+        hangUp(gateway);
+        names.receive(new DatagramPacket(new byte[512], 512));
+        Files.writeString(folder.resolve("configuration.json"), "{");
+        hangUp(gateway);
+        BufferedReader log = gateway.errorReader(StandardCharsets.UTF_8);
+        String line = log.readLine();
+        while (!line.contains("all stays as it was")) {
+            line = log.readLine();
+        }
+        names.receive(new DatagramPacket(new byte[512], 512));
+        awaitHealth();
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     private String failure(String configuration) throws Exception {
         Process process = start(configuration);
         assertTrue(process.waitFor(10, TimeUnit.SECONDS));
