--- a/src/main/java/tillerlink/model/Outcome.java
+++ b/src/main/java/tillerlink/model/Outcome.java
@@ -10,6 +10,8 @@
     /** No connection was made in time. */
     UNREACHABLE(true, false),
     SEVERED(false, true),
+    /** It came to the engine, and what that answered was lost on the way: nothing is said of the engine. */
+    SPOILT(false, true),
     CALLED_OFF(false, true),
     NEVER_SENT(true, false);
 
--- a/src/main/java/tillerlink/net/state/Break.java
+++ b/src/main/java/tillerlink/net/state/Break.java
@@ -12,8 +12,10 @@
     SILENT,
     RESET,
     CLOSED_BY_PEER,
-    /** The peer said what can't be read. */
+    /** The peer said what can't be read, or half an answer and no more: what it bore has run, its answer is lost. */
     GARBLED,
+    /** It did not say that it works, while the engine answers elsewhere: the connection alone is dead. */
+    MUTE,
     /** No descriptor or no room was left for it here. */
     NO_ROOM,
     CLOSED_BY_US;
@@ -24,7 +26,10 @@
     public Outcome outcome(boolean whole) {
         return switch (this) {
             case REFUSED, NEVER_UP -> Outcome.UNREACHABLE;
-            case SILENT, RESET, CLOSED_BY_PEER, GARBLED -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
+            case SILENT -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
+            // A connection that came up and broke says that somebody is there; only what it bore may be in doubt.
+            case RESET, CLOSED_BY_PEER -> whole ? Outcome.SEVERED : Outcome.NEVER_SENT;
+            case GARBLED, MUTE -> whole ? Outcome.SPOILT : Outcome.NEVER_SENT;
             case NO_ROOM -> Outcome.NEVER_SENT;
             case CLOSED_BY_US -> whole ? Outcome.CALLED_OFF : Outcome.NEVER_SENT;
         };
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -14,9 +14,9 @@
 /** A connection to an engine, which bears many hops. */
 final class EngineLink implements Pipe.Owner {
     /** Hops that ended here lately: an answer to one of these crossed our word and is no fault. */
-    private static final int ENDED_KEPT = 512;
+    private static final int ENDED_KEPT = 64;
     private static final int PAGES_MOST = 64;
-    private static final int RESULT_MOST = 131_072;
+    private static final int RESULT_MOST = 48_000;
     private static final String TAG = "0";
 
     final EngineSite site;
@@ -38,6 +38,8 @@
     private long askedAt;
     /** It did not say that it works. */
     private boolean silent;
+    /** Since when half an answer waits for the rest; 0 if none does. */
+    private long midwaySince;
 
     EngineLink(Gateway gateway, EngineSite site, long now) {
         this.gateway = gateway;
@@ -67,7 +69,9 @@
      * also against a machine that vanished, behind which connections stay open and silent: one with hops on which
      * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
      * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt.
-     * It should hold against any cut; it may hurt where a network loses everything for half a second.
+     * If another connection to that engine works, this one alone is dead: its hops are over and their answers lost.
+     * The same holds for half an answer whose rest does not come. It should hold against any cut; it may hurt where a
+     * network loses everything for half a second.
      */
     void sweep(long connectMost, long idleMost) {
         long now = gateway.now();
@@ -81,21 +85,59 @@
         } else if (open && askedAt == 0 && !flights.isEmpty() && now >= heardAt + connectMost / 2) {
             askedAt = now;
             write(EngineCommand.there(TAG));
+        } else if (midwaySince > 0 && now >= midwaySince + connectMost) {
+            end(Break.GARBLED);
         } else if (askedAt > 0 && !silent && now >= askedAt + connectMost / 2) {
             silent = true;
+        }
+        if (silent && !over && site.heardSince(askedAt)) {
+            if (now >= askedAt + connectMost) {
+                end(Break.MUTE);
+            }
+        } else if (silent && !over) {
             gateway.tryAnew(site);
         }
     }
 
-    boolean silent() {
-        return silent;
+    /** A new connection to its engine failed: if this one does not say that it works, its hops end in doubt. */
+    void nobodyThere() {
+        if (silent) {
+            gateway.rarely("engine " + site.id + " is silent, " + flights.size() + " hops end in doubt");
+            end(Break.SILENT);
+        } else if (flights.isEmpty()) {
+            retire();
+        }
+    }
+
+    /** How many hops it bears. */
+    int bears() {
+        return flights.size();
+    }
+
+    /** Whether it is still coming up. */
+    boolean dialing() {
+        return !open;
+    }
+
+    /** Whether it came up, or the engine said something on it, since then. */
+    boolean heardSince(long then) {
+        return open && heardAt >= then;
     }
 
     void send(Flight flight) {
         flight.link = this;
         flights.put(flight.call.ask.id(), flight);
         if (open) {
+            start(flight);
+        }
+    }
+
+    /** Asks for its result, or for what it lacks of it. */
+    private void start(Flight flight) {
+        if (flight.pages == null) {
             want(flight);
+        } else {
+            turnPages(flight);
         }
     }
 
@@ -140,7 +182,7 @@
         }
         open = true;
         heardAt = gateway.now();
-        flights.values().forEach(this::want);
+        flights.values().forEach(this::start);
     }
 
     @Override
@@ -161,31 +203,36 @@
             for (EngineAnswer answer = reader.next(); answer != null && !over; answer = reader.next()) {
                 take(answer);
             }
+            midwaySince = !reader.midway() ? 0 : midwaySince == 0 ? heardAt : midwaySince;
         } catch (IllegalArgumentException e) {
             gateway.rarely("engine " + site.id + " said what can't be read: " + e.getMessage());
             end(Break.GARBLED);
         }
     }
 
+    /**
+     * Guards the hops beside it against an answer that belongs to none here, or that comes twice: its framing is
+     * sound, so it is passed over and the connection goes on.
+     */
     private void take(EngineAnswer answer) {
         Flight flight = flights.get(answer.id());
         if (flight == null) {
             if (answer.word() != EngineAnswer.Word.YES && !ended.contains(answer.id())) {
-                throw new IllegalArgumentException("an answer to nothing asked");
+                gateway.rarely("engine " + site.id + " answered what was not asked");
             }
             return;
         }
         switch (answer.word()) {
             case OK -> begin(flight, answer);
             case BATCH -> {
-                keep(flight, answer);
-                if (!flight.take(answer.number(), answer.body())) {
-                    throw new IllegalArgumentException("a page out of turn");
+                if (flight.lacks(answer.number())) {
+                    flight.take(answer.number(), answer.body());
+                    keep(flight, answer);
                 }
-                finish(flight);
             }
             case REFUSED -> gateway.ended(flight, Outcome.FULL);
-            case ERROR -> gateway.ended(flight, Outcome.ERRED);
+            // A page that the engine no longer has says nothing against what it runs.
+            case ERROR -> gateway.ended(flight, flight.pages == null ? Outcome.ERRED : Outcome.SPOILT);
             case STALE -> gateway.ended(flight, Outcome.NEVER_SENT);
             case PROGRESS -> {
                 if (answer.about() != null) {
@@ -206,29 +253,35 @@
 
     /** The first page is there: the others are asked for at once. */
     private void begin(Flight flight, EngineAnswer answer) {
+        if (flight.pages != null) {
+            return;
+        }
         int pages = Math.max(1, answer.number());
-        if (flight.pages != null || pages > PAGES_MOST) {
-            throw new IllegalArgumentException("a second result, or one of " + pages + " pages");
+        if (pages > PAGES_MOST) {
+            throw new IllegalArgumentException("a result of " + pages + " pages");
         }
-        keep(flight, answer);
         flight.pages = new byte[pages][];
-        flight.pages[0] = answer.body();
-        flight.missing = pages - 1;
-        for (int page = 1; page < pages; page++) {
-            write(EngineCommand.turn(answer.id(), page));
+        flight.missing = pages;
+        flight.take(0, answer.body());
+        turnPages(flight);
+        keep(flight, answer);
+    }
+
+    private void turnPages(Flight flight) {
+        for (int page = 1; page < flight.pages.length; page++) {
+            if (flight.lacks(page)) {
+                write(EngineCommand.turn(flight.call.ask.id(), page));
+            }
         }
-        finish(flight);
     }
 
+    /** A page was taken: counts it, and ends the hop with the last. */
     private void keep(Flight flight, EngineAnswer answer) {
-        flight.bytes += answer.body().length;
         gateway.held(answer.body().length);
         if (flight.bytes > RESULT_MOST) {
+            flight.pages = null;
             throw new IllegalArgumentException("a result too long");
         }
-    }
-
-    private void finish(Flight flight) {
         if (flight.missing == 0) {
             if (flight.pages.length > 1) {
                 write(EngineCommand.shut(flight.call.ask.id()));
@@ -237,9 +290,10 @@
         }
     }
 
+    /** It went in the middle of an answer: what it bore has run. */
     @Override
     public void ended(Break how) {
-        end(how);
+        end(reader.midway() ? Break.GARBLED : how);
     }
 
     /** Ends the connection; each hop on it ends as that means for it. */
@@ -256,13 +310,12 @@
             pipe.drop();
         }
         for (Flight flight : List.copyOf(flights.values())) {
-            gateway.ended(flight, how.outcome(flight.place <= writesDone));
+            if (how == Break.CLOSED_BY_US || how == Break.SILENT || !gateway.mend(flight)) {
+                gateway.ended(flight, how.outcome(flight.place <= writesDone || flight.pages != null));
+            }
         }
         if (how == Break.REFUSED || how == Break.NEVER_UP) {
-            for (EngineLink link : site.silent()) {
-                gateway.rarely("engine " + site.id + " is silent, " + link.flights.size() + " hops end in doubt");
-                link.end(Break.SILENT);
-            }
+            site.nobodyThere();
         }
     }
 }
--- a/src/main/java/tillerlink/net/state/EngineSite.java
+++ b/src/main/java/tillerlink/net/state/EngineSite.java
@@ -34,17 +34,24 @@
         List.copyOf(links).forEach(EngineLink::retire);
     }
 
-    List<EngineLink> silent() {
-        return links.stream().filter(EngineLink::silent).toList();
+    /** A new connection failed. */
+    void nobodyThere() {
+        List.copyOf(links).forEach(EngineLink::nobodyThere);
     }
 
-    /** A connection with room for one more, or null. */
+    /** Whether the engine was seen to be there since then, on any connection. */
+    boolean heardSince(long then) {
+        return links.stream().anyMatch(link -> link.heardSince(then));
+    }
+
+    /** Of the connections with room for one more, the one that bears least, or null. */
     EngineLink roomy(String submission, int most) {
+        EngineLink best = null;
         for (EngineLink link : links) {
-            if (link.takes(submission, most)) {
-                return link;
+            if (link.takes(submission, most) && (best == null || link.bears() < best.bears())) {
+                best = link;
             }
         }
-        return null;
+        return best;
     }
 }
--- a/src/main/java/tillerlink/net/state/Flight.java
+++ b/src/main/java/tillerlink/net/state/Flight.java
@@ -16,19 +16,22 @@
     int missing;
     /** Bytes of the pages that have come. */
     int bytes;
+    /** How often its pages were asked for on a further connection. */
+    int mended;
 
     Flight(Hop hop, Call call) {
         this.hop = hop;
         this.call = call;
     }
 
-    /** Takes a page; false if it is none that was asked for. */
-    boolean take(int number, byte[] page) {
-        if (pages == null || number < 1 || number >= pages.length || pages[number] != null) {
-            return false;
-        }
+    /** Whether a page is one that was asked for and has not come. */
+    boolean lacks(int number) {
+        return pages != null && number >= 1 && number < pages.length && pages[number] == null;
+    }
+
+    void take(int number, byte[] page) {
         pages[number] = page;
+        bytes += page.length;
         missing--;
-        return true;
     }
 }
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -30,6 +30,7 @@
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
     private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
     private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
+    private static final int MENDS_MOST = 3;
 
     private final Driver driver;
     private final ClientDoor clients;
@@ -181,9 +182,9 @@
         return link;
     }
 
-    /** Shows whether anybody is there, if no connection does. */
+    /** Shows whether anybody is there, unless a new connection is about to. */
     void tryAnew(EngineSite site) {
-        if (site.links.stream().allMatch(EngineLink::silent)) {
+        if (site.links.stream().noneMatch(EngineLink::dialing)) {
             dial(site);
         }
     }
@@ -224,10 +225,7 @@
         EngineSite site = (EngineSite) hop.engine.tag;
         Flight flight = new Flight(hop, call);
         call.flights.add(flight);
-        EngineLink link = site.roomy(call.ask.id(), streams);
-        if (link == null) {
-            link = dial(site);
-        }
+        EngineLink link = linkFor(site, call);
         if (link == null) {
             rarely("no room for a further engine connection");
             next.add(() -> ended(flight, Break.NO_ROOM.outcome(false)));
@@ -236,6 +234,30 @@
         }
     }
 
+    /**
+     * One that bears nothing, else a new one, else the one that bears least. Guards against one spoilt answer, after
+     * which a connection can't be read any more, that takes the hops beside it along.
+     */
+    private EngineLink linkFor(EngineSite site, Call call) {
+        EngineLink link = site.roomy(call.ask.id(), streams);
+        EngineLink fresh = link == null || link.bears() > 0 ? dial(site) : null;
+        return fresh == null ? link : fresh;
+    }
+
+    /**
+     * A hop whose first page is there and whose connection ended: what is missing is asked for on another. The engine
+     * keeps pages, so nothing runs again. False if it can't be, or was tried too often.
+     */
+    boolean mend(Flight flight) {
+        EngineLink link = flight.pages == null || flight.mended >= MENDS_MOST || !flight.hop.isOut() ? null
+                : linkFor((EngineSite) flight.hop.engine.tag, flight.call);
+        if (link != null) {
+            flight.mended++;
+            link.send(flight);
+        }
+        return link != null;
+    }
+
     @Override
     public void callOff(Hop hop) {
         Flight flight = ((Call) hop.submission.tag).flights.get(hop.number);
--- a/src/main/java/tillerlink/net/wire/EngineReader.java
+++ b/src/main/java/tillerlink/net/wire/EngineReader.java
@@ -3,7 +3,7 @@
 /** Makes answers of the bytes of one engine connection; knows no socket. */
 public final class EngineReader {
     private static final int LINE_MOST = 1024;
-    private static final int BODY_MOST = 65_536;
+    private static final int BODY_MOST = 6000;
 
     private final Bytes bytes = new Bytes();
     private String[] words;
@@ -13,6 +13,11 @@
         bytes.feed(more);
     }
 
+    /** Whether an answer has begun to come and is not yet whole. */
+    public boolean midway() {
+        return words != null || bytes.size() > 0;
+    }
+
     /**
      * The next answer, or null while it is not whole.
      *
@@ -78,10 +83,13 @@
             switch (field.substring(0, sign)) {
                 case "count", "pos" -> number = whole(value);
                 case "tell" -> about = about(value);
-                case "reading" -> level = Double.parseDouble(value);
+                case "reading" -> level = amount(value);
                 default -> { }
             }
         }
+        if (word == EngineAnswer.Word.OK || word == EngineAnswer.Word.BATCH) {
+            Rows.check(body);
+        }
         return new EngineAnswer(words[0], word, number, about, level, body);
     }
 
@@ -94,6 +102,14 @@
         };
     }
 
+    private static double amount(String text) {
+        double amount = Double.parseDouble(text);
+        if (!Double.isFinite(amount)) {
+            throw new IllegalArgumentException("not a number");
+        }
+        return amount;
+    }
+
     private static int whole(String text) {
         if (text.length() > 9 || !Ascii.digits(text)) {
             throw new IllegalArgumentException("not a whole number");
--- a/src/main/java/tillerlink/net/wire/Rows.java
+++ b/src/main/java/tillerlink/net/wire/Rows.java
@@ -5,11 +5,34 @@
 
 /** Turns pages as engines send them (tabs between columns, a line feed after each row) into a client's last answer. */
 public final class Rows {
+    private static final int COLUMNS = 3;
     private static final byte[] DIGITS = "0123456789abcdef".getBytes(StandardCharsets.US_ASCII);
 
     private Rows() {
     }
 
+    /**
+     * Guards against handing on as whole what was spoilt on the way.
+     *
+     * @throws IllegalArgumentException if a page is not made of whole rows of text in three columns
+     */
+    static void check(byte[] page) {
+        int tabs = 0;
+        for (byte b : page) {
+            tabs += b == '\t' ? 1 : 0;
+            if (b == '\n') {
+                if (tabs != COLUMNS - 1) {
+                    throw new IllegalArgumentException("a row of " + (tabs + 1) + " columns");
+                }
+                tabs = 0;
+            }
+        }
+        if (page.length > 0 && page[page.length - 1] != '\n') {
+            throw new IllegalArgumentException("a row cut off");
+        }
+        Ascii.utf8(page);
+    }
+
     public static byte[] answer(byte[][] pages) {
         int size = 32;
         for (byte[] page : pages) {
--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -51,10 +51,30 @@
             s.say("it can't be read").fresh().post("c1", ID, "book").get("c1", ID).connected(0).engine(0, bad);
         }
         s.say("nobody is there any more").fresh().post("c1", ID, "book").get("c1", ID).connected(0).pass(800);
-        s.say("a result without end").fresh().post("c1", ID, "book").get("c1", ID).connected(0);
-        String page = " 60000|" + "x".repeat(60000) + "|";
-        s.engine(0, ID + " ok count=4" + page).engine(0, ID + " batch pos=1" + page).engine(0, ID + " batch pos=2" + page);
-        s.matches("net-endings");
+        s.say("a result too long").fresh().post("c1", ID, "book").get("c1", ID).connected(0);
+        String page = " 6000|" + ("x".repeat(1997) + "\t\t\n").repeat(3) + "|";
+        s.quiet(true).engine(0, ID + " ok count=9" + page);
+        for (int i = 1; i < 8; i++) {
+            s.engine(0, ID + " batch pos=" + i + page);
+        }
+        s.quiet(false).engine(0, ID + " batch pos=8" + page).matches("net-endings");
+    }
+
+    /** Guards the hops beside a spoilt answer, and what of a result has come whole, and against running anything again. */
+    @Test
+    void spoiltAnswers() {
+        String row = " 6|a\t1\tx\n|";
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0);
+        s.say("more than belongs to it").engine(0, "00000000000000ff ok count=1 0||").engine(0, ID + " ok count=2" + row)
+                .engine(0, ID + " ok count=2" + row).say("a page spoilt: asked for again").engine(0, ID + " batch pos=1 4|a\tb\n|").connected(1);
+        s.engine(1, ID + " batch pos=1" + row).engine(1, ID + " batch pos=1" + row);
+        s.say("the first page spoilt beside another hop").fresh().post("c1", ID, "look").get("c1", ID).connected(0)
+                .post("c2", "00000000000000a2", "look").post("c3", "00000000000000a3", "look").engine(0, ID + " ok count=1 6|a\t1\u0001x\n|");
+        s.say("no end comes").fresh().post("c1", ID, "look").get("c1", ID).connected(0).engine(0, ID + " ok count=1 60|a\t1").pass(300);
+        s.say("it breaks off on the way").fresh().post("c1", ID, "look").get("c1", ID).connected(0).engine(0, ID + " ok cou")
+                .ends(0, Break.CLOSED_BY_PEER);
+        s.say("the connection alone is dead").fresh().post("c1", ID, "look").get("c1", ID).connected(0).pass(350).connected(1).pass(100);
+        s.matches("net-spoilt");
     }
 
     /** Guards against waiting for a machine that vanished, and against taking one that is only slow for it. */
--- a/src/test/java/tillerlink/ServeTest.java
+++ b/src/test/java/tillerlink/ServeTest.java
@@ -209,11 +209,13 @@
             String[] words = line.split(" ");
             if (words[0].equals("want")) {
                 String statement = in.readLine();
-                if (statement.equals("slow")) {
-                    pause(1500);
-                }
                 String row = statement + "\tlook\t\n";
-                say(out, words[1] + (statement.equals("fail") ? " error - 0\r\n\r\n" : " ok count=2 " + row.length() + "\r\n" + row + "\r\n"));
+                daemon(() -> {
+                    pause(statement.equals("slow") ? 1500 : 0);
+                    say(out, words[1] + (statement.equals("fail") ? " error - 0\r\n\r\n" : " ok count=2 " + row.length() + "\r\n" + row + "\r\n"));
+                });
+            } else if (words[0].equals("there")) {
+                say(out, words[1] + " yes - 0\r\n\r\n");
             } else if (words[0].equals("turn")) {
                 say(out, words[1] + " batch pos=" + words[2] + " 8\r\npage\t1\t\n\r\n");
             }
@@ -221,8 +223,10 @@
     }
 
     private static void say(OutputStream out, String text) throws IOException {
-        out.write(text.getBytes(StandardCharsets.UTF_8));
-        out.flush();
+        synchronized (out) {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
     }
 
     private static void pause(long ms) {
--- a/src/test/java/tillerlink/WireTest.java
+++ b/src/test/java/tillerlink/WireTest.java
@@ -107,7 +107,7 @@
     @Test
     void answersOfEngines() {
         StringBuilder printed = new StringBuilder(readAnyhow(WireTest::engine, bytes(
-                "9b ok count=2 6\r\na\tb\r\nc\r\n0 yes - 0\r\n\r\n9b batch pos=1,novel=x 0\r\n\r\n"
+                "9b ok count=2 6\r\na\tb\tc\n\r\n0 yes - 0\r\n\r\n9b batch pos=1,novel=x 0\r\n\r\n"
                 + "7c progress tell=frac,reading=0.45 0\r\n\r\n7c progress - 0\r\n\r\n7c refused - 0\r\n\r\n")));
         for (String bad : List.of("9b ok count=1 3\r\nabcd\r\n", "9b ok\r\n", "9b hello - 0\r\n\r\n", "9b ok count=x 0\r\n\r\n",
                 "9b ok count 0\r\n\r\n", "9b ok - 0\n\n", "9b ok - 99999\r\n", "9b ok - -1\r\n", "a".repeat(2000))) {
