--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -589,8 +589,9 @@
     private boolean stalled(long now, Engine engine) {
         double ages = 0;
         for (Hop hop : engine.out) {
-            double usual = Math.max(1, hop.nominal * hop.submission.track.best());
-            ages += Math.min(PACE_CAP, (now - hop.sentAt) / usual);
+            Track track = hop.submission.track;
+            double usual = track.bestPace > 0 ? hop.nominal * track.bestPace : track.terms.softLimit() / FAR;
+            ages += Math.min(PACE_CAP, (now - hop.sentAt) / Math.max(1, usual));
         }
         return ages > STALL * engine.out.size() || engine.threadsOut >= ALL_CLASSES * cores(engine);
     }
