Let failed trials, single resets and unusable submissions count as what they are

Checked with each trial printed: with 20 successes on record a draw above 0.7 came at nearly every submission, since a failed trial cost one failure and only one trial is out at a time (an error takes 10 ms). By reading: one reset cast three failures on an engine and counted it as cold for 13 s, and bad peers reset connections of any engine alike.

Now a trial's failure wipes out most of the successes, as its success does with the failures; what a second engine errs on is given up and speaks for the first; one dropped connection counts once, two with nothing heard between are a fall; what was spoilt on the way says that the engine is there; one estimate adds at most its hard stop times its threads to the work seen. The first of it holds against any engine that fails fast; it may hurt one that fails for a moment only.

--- a/src/main/java/tillerlink/Policy.java
+++ b/src/main/java/tillerlink/Policy.java
@@ -45,7 +45,7 @@
     private static final double DOUBT_RATIO = 0.25; // failures for each success that make an engine doubtful
     private static final double TRIAL_CHANCE = 0.7; // drawn chance of success that earns a trial
     private static final double SILENCE_WEIGHT = 3; // what a silence counts for, in failures
-    private static final double TRIAL_CLEARS = 0.8; // share of the failures that a trial's success wipes out
+    private static final double TRIAL_CLEARS = 0.8; // share of the other record that a trial wipes out
     private static final double QUIET = 4; // silence of this many expected times is suspicious
     private static final double QUIET_NOTES = 1.3; // silence of this many periods of notes is suspicious
     // Bad plans.
@@ -203,7 +203,7 @@
             taken.add(now, 1);
         }
         payoffSeen.add(now, s.track.terms.payoff());
-        s.track.workSeen.add(now, work(now, s));
+        s.track.workSeen.add(now, Math.min(work(now, s), s.track.terms.hardStop() * s.track.terms.width()));
         if (s.ordered()) {
             s.line.members.addLast(s);
             alarms.set(s, tooLateAt(now, s));
@@ -401,8 +401,7 @@
 
     /**
      * Guards against a queue in which all wait too long to pay: the longer the head has waited, the smaller a
-     * new submission must be, against its track's mean, to be kept. It should hold against any lasting want
-     * of capacity; it may hurt when one long wait at the head stands for no queue behind it.
+     * new one must be, against its track's mean, to be kept. It may hurt when one long wait is no queue.
      */
     private void shed(long now) {
         for (int i = 0; i < fresh.size(); i++) {
@@ -601,8 +600,7 @@
 
     /**
      * Within its bound, or room for the one query that may always fly. Guards against a jam that never
-     * drains: where a gateway's share of an engine is less than a query, one from each gateway is more than
-     * it bears, so an engine under pressure gets it last, and only when nothing else of ours is there.
+     * drains: one of each gateway may be more than it bears, so under pressure it comes last, and alone.
      */
     private Room room(long now, Engine engine, Track track) {
         boolean pressed = now < engine.pressedUntil;
@@ -620,8 +618,7 @@
 
     /**
      * Whether what is out on the engines with or without pressure is above their bounds together. Guards
-     * against a jam held up by the one query that may fly below a bound. It should hold against any lasting
-     * shortage; it may hurt a gateway that has most of the traffic.
+     * against a jam held up by the one query that may fly; it may hurt a gateway with most of the traffic.
      */
     private boolean spent(Room room) {
         int pool = room == Room.LAST ? 1 : 0;
@@ -766,10 +763,7 @@
         return start + (1 - start) * gone * gone;
     }
 
-    /**
-     * Guards a cold engine: this gateway's part of what may be sent within the stated span. A gateway that
-     * has just started itself may have spent it before, and waits for the span to pass.
-     */
+    /** Guards a cold engine: this gateway's part of the span; one just started may have spent it before. */
     private boolean coldRoom(long now, Engine engine, double work) {
         double warmth = warmth(now, engine);
         if (warmth >= 1 || fallSpan <= 0) {
@@ -820,9 +814,8 @@
     }
 
     private boolean worthAnother(long now, Submission s) {
-        return s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
-                && now + usual(now, s) < tooLateAt(now, s)
-                && engines.stream().anyMatch(e -> open(now, s, e));
+        return !s.unusable && s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
+                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> open(now, s, e));
     }
 
     /** What is due for a submission: its end, or a look at the hop that is out. */
@@ -880,9 +873,8 @@
     }
 
     /**
-     * Guards against bad plans: a hop that its notes project far beyond the usual is sent anew, and against a
-     * track underrated as a whole: more is asked until it is known, then its own pace counts. It should hold
-     * against a hop stuck alone on a sound engine too; it may hurt where single estimates are far too low.
+     * Guards against bad plans, and against a hop stuck alone: what its notes project far beyond the usual is
+     * sent anew; of an unknown track more is asked. It may hurt where single estimates are far too low.
      */
     private void judgeProgress(long now, Hop hop) {
         long age = now - hop.sentAt;
@@ -904,26 +896,33 @@
 
     private void judge(long now, Hop hop, Outcome outcome) {
         Engine engine = hop.engine;
+        engine.heardAt = outcome.heard ? now : engine.heardAt;
         switch (outcome) {
-            case FULFILLED -> {
-                engine.heardAt = now;
-                succeed(now, engine, hop.trial);
-            }
+            case FULFILLED -> count(now, hop, engine.successes, 1, engine.failures);
             // Guards against an engine that fails or refuses at once: its empty counts would draw its class.
-            case FULL, ERRED -> {
-                engine.heardAt = now;
-                engine.failures.add(now, 1);
-                if (outcome == Outcome.FULL) {
-                    press(now, engine);
-                    cutBound(now, engine);
+            case FULL -> {
+                count(now, hop, engine.failures, 1, engine.successes);
+                press(now, engine);
+                cutBound(now, engine);
+            }
+            // Guards against a submission that no engine can use: the second that errs speaks for the first.
+            case ERRED -> {
+                Engine before = hop.submission.erredElsewhere(engine);
+                hop.submission.unusable = before != null;
+                if (before == null) {
+                    count(now, hop, engine.failures, 1, engine.successes);
+                } else {
+                    before.failures.add(now, -1);
                 }
             }
-            case UNREACHABLE -> engine.failures.add(now, SILENCE_WEIGHT);
+            case UNREACHABLE -> count(now, hop, engine.failures, SILENCE_WEIGHT, engine.successes);
             // Guards against a restart that the list tells late: a process that dropped its connections comes
-            // back cold. It should hold for any crash; it may hurt where the network alone dropped them.
+            // back cold. One alone is the network's; two with nothing heard between are the process'.
             case SEVERED -> {
-                engine.failures.add(now, SILENCE_WEIGHT);
-                engine.fellAt = now;
+                boolean fell = engine.heardAt < engine.severedAt;
+                count(now, hop, engine.failures, fell ? SILENCE_WEIGHT : 1, engine.successes);
+                engine.fellAt = fell ? now : engine.fellAt;
+                engine.severedAt = now;
             }
             case OVERDUE -> {
                 if (engine.heardAt < hop.sentAt) {
@@ -936,10 +935,11 @@
         }
     }
 
-    private void succeed(long now, Engine engine, boolean trial) {
-        engine.successes.add(now, 1);
-        if (trial) {
-            engine.failures.add(now, -TRIAL_CLEARS * engine.failures.at(now));
+    /** A trial tells of now: its outcome wipes out most of what spoke for the other. */
+    private void count(long now, Hop hop, DecayingSum sum, double weight, DecayingSum other) {
+        sum.add(now, weight);
+        if (hop.trial) {
+            other.add(now, -TRIAL_CLEARS * other.at(now));
         }
     }
 
--- a/src/main/java/tillerlink/model/Engine.java
+++ b/src/main/java/tillerlink/model/Engine.java
@@ -35,6 +35,8 @@
     public long pressedUntil = Long.MIN_VALUE;
     /** When it last dropped a connection with a hop on it. */
     public long fellAt = Long.MIN_VALUE;
+    /** When a hop was last cut off here. */
+    public long severedAt = Long.MIN_VALUE;
     public long boundCutAt = Long.MIN_VALUE;
     public long heardAt = Long.MIN_VALUE;
     public long reportedAt = Long.MIN_VALUE;
--- a/src/main/java/tillerlink/model/Submission.java
+++ b/src/main/java/tillerlink/model/Submission.java
@@ -28,6 +28,8 @@
     public boolean begun;
     /** Null while an answer is owed. */
     public Ending ending;
+    /** No engine can use it. */
+    public boolean unusable;
     public boolean told;
     public long comeBack;
     public int rank = 1;
@@ -55,6 +57,12 @@
         return line != null && track.terms.keepsOrder();
     }
 
+    /** The first of the other engines that erred on it, or null. */
+    public Engine erredElsewhere(Engine engine) {
+        return hops.stream().filter(hop -> hop.outcome == Outcome.ERRED && hop.engine != engine)
+                .map(hop -> hop.engine).findFirst().orElse(null);
+    }
+
     /** Ended, with no hop left of which anything more will be heard. */
     public boolean isOver() {
         return ending != null && hopsOut == 0;
--- a/src/test/java/tillerlink/Trace.java
+++ b/src/test/java/tillerlink/Trace.java
@@ -112,6 +112,15 @@
         return settle();
     }
 
+    /** Hop by hop, until it is over: one engine errs, the others fulfil. */
+    Trace endAll(String id, String erring) {
+        Submission s = submissions.get(id);
+        while (s.hopsOut > 0) {
+            end(id, s.hops.get(s.hops.size() - 1).engine.tag.equals(erring) ? Outcome.ERRED : Outcome.FULFILLED);
+        }
+        return this;
+    }
+
     Trace note(String id, double share) {
         Submission s = submissions.get(id);
         policy.noted(now, s.hops.get(s.hops.size() - 1), Note.PROGRESS, share);
