--- a/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -14,7 +16,6 @@
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramConnector;
@@ -34,12 +35,15 @@
     private static final int DATAGRAM_MOST = 16_384;
     private static final int BACKLOG = 256;
     private static final String PIPE = "pipe";
+    /** Room beyond the bound of clients, for those that are just being accepted or closed. */
+    private static final int NEWCOMERS_LEAST = 8;
+    private static final int NEWCOMERS_SHARE = 10;
 
-    /** Pieces read and not yet taken; the other events are bounded by the connections and by what was written. */
-    private static final int READS_MOST = 1024;
+    /** Pieces read from a connection and not yet taken; the other events are bounded by what was written. */
+    private static final int UNREAD_MOST = 2;
 
     private final Queue<Runnable> queue;
-    private final Semaphore reads = new Semaphore(READS_MOST);
+    private final Reading reading = new Reading();
     private final Consumer<byte[]> datagrams;
     private InetSocketAddress nameService;
     private final NioSocketAcceptor acceptor;
@@ -54,18 +58,17 @@
         this.queue = queue;
         this.nameService = nameService;
         this.datagrams = datagrams;
-        SimpleIoProcessorPool<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-        acceptor = new Bounded(processor, clientsMost);
+        acceptor = new Bounded(reading, clientsMost + Math.max(NEWCOMERS_LEAST, clientsMost / NEWCOMERS_SHARE));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.getSessionConfig().setTcpNoDelay(true);
         bound(acceptor.getSessionConfig(), READ_MOST);
         acceptor.setHandler(new Accepting(accepted));
-        connector = new NioSocketConnector(processor);
+        connector = new NioSocketConnector(reading);
         connector.getSessionConfig().setTcpNoDelay(true);
         bound(connector.getSessionConfig(), READ_MOST);
         connector.setHandler(new Posting());
-        asker = new NioDatagramConnector(processor);
+        asker = new NioDatagramConnector(reading);
         bound(asker.getSessionConfig(), DATAGRAM_MOST);
         asker.setHandler(new Asking());
     }
@@ -138,15 +141,6 @@
         }
     }
 
-    /** Guards the memory: while too much waits to be taken, MINA's thread waits here, and so nothing more is read. */
-    private void postRead(Runnable event) {
-        reads.acquireUninterruptibly();
-        queue.add(() -> {
-            reads.release();
-            event.run();
-        });
-    }
-
     private static byte[] taken(Object message) {
         IoBuffer buffer = (IoBuffer) message;
         byte[] bytes = new byte[buffer.remaining()];
@@ -157,7 +151,9 @@
     private final class MinaPipe implements Pipe {
         private Owner owner;
         private ConnectFuture future;
+        private final AtomicInteger unread = new AtomicInteger();
         private volatile IoSession session;
+        private volatile boolean held;
 
         @Override
         public void write(byte[] bytes) {
@@ -175,12 +171,36 @@
         }
 
         @Override
-        public void hold(boolean held) {
-            if (held) {
-                session.suspendRead();
-            } else {
-                session.resumeRead();
-            }
+        public void hold(boolean on) {
+            held = on;
+            regulate();
+        }
+
+        /** On MINA's thread: a piece was read. */
+        private void read(byte[] bytes) {
+            unread.incrementAndGet();
+            regulate();
+            queue.add(() -> {
+                if (unread.getAndDecrement() == UNREAD_MOST) {
+                    regulate();
+                }
+                owner.fed(bytes);
+            });
+        }
+
+        /**
+         * Guards the memory, and the other connections: one of which pieces wait to be taken is not read further, and
+         * none waits for it.
+         */
+        private void regulate() {
+            reading.run(() -> {
+                boolean stop = held || unread.get() >= UNREAD_MOST;
+                if (stop && !session.isReadSuspended()) {
+                    session.suspendRead();
+                } else if (!stop && session.isReadSuspended()) {
+                    session.resumeRead();
+                }
+            });
         }
 
         private void end(boolean now) {
@@ -215,8 +235,7 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             MinaPipe pipe = pipe(session);
-            byte[] bytes = taken(message);
-            postRead(() -> pipe.owner.fed(bytes));
+            pipe.read(taken(message));
         }
 
         @Override
@@ -243,32 +262,66 @@
         }
     }
 
-    /** Guards the descriptors: a connection beyond the bound is closed where it is accepted. */
+    /** MINA's thread for reading and writing; what changes whether a connection is read must run on it. */
+    private static final class Reading extends NioProcessor {
+        private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+        private volatile Thread thread;
+
+        Reading() {
+            super(Executors.newCachedThreadPool(work -> {
+                Thread thread = new Thread(work, "reading");
+                thread.setDaemon(true);
+                return thread;
+            }));
+        }
+
+        void run(Runnable task) {
+            if (Thread.currentThread() == thread) {
+                task.run();
+            } else {
+                tasks.add(task);
+                wakeup();
+            }
+        }
+
+        @Override
+        protected int select(long timeout) throws Exception {
+            thread = Thread.currentThread();
+            for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+                task.run();
+            }
+            return super.select(timeout);
+        }
+    }
+
+    /** Guards the descriptors: beyond the bound newcomers wait in the backlog until others have been closed. */
     private static final class Bounded extends NioSocketAcceptor {
-        private final AtomicInteger clients = new AtomicInteger();
-        private final int most;
+        private static final long WAIT_MS = 20;
+        private final Semaphore room;
 
         Bounded(IoProcessor<NioSession> processor, int most) {
             super(processor);
-            this.most = most;
+            room = new Semaphore(most);
         }
 
         @Override
         protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listening)
                 throws Exception {
-            if (clients.get() < most) {
-                NioSession session = super.accept(processor, listening);
-                if (session != null) {
-                    clients.incrementAndGet();
-                    session.getCloseFuture().addListener(closed -> clients.decrementAndGet());
+            if (!room.tryAcquire(WAIT_MS, TimeUnit.MILLISECONDS)) {
+                return null;
+            }
+            NioSession session = null;
+            try {
+                session = super.accept(processor, listening);
+            } finally {
+                if (session == null) {
+                    room.release();
                 }
-                return session;
             }
-            SocketChannel beyond = listening.accept();
-            if (beyond != null) {
-                beyond.close();
+            if (session != null) {
+                session.getCloseFuture().addListener(closed -> room.release());
             }
-            return null;
+            return session;
         }
     }
 
@@ -292,7 +345,7 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             byte[] bytes = taken(message);
-            postRead(() -> datagrams.accept(bytes));
+            queue.add(() -> datagrams.accept(bytes));
         }
 
         @Override
--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -20,8 +20,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /** After SIGTERM clients may go on coming for this long. */
     private static final long STILL_COMING = 700 * Units.TENTHS_PER_MS;
-    /** Answers must be out by then: SIGKILL may come soon after. */
-    private static final long OUT_BY = 3400 * Units.TENTHS_PER_MS;
+    /** SIGKILL comes no sooner than the longest hard stop after that, which counts as this at most. */
+    private static final long LONGEST = 3000 * Units.TENTHS_PER_MS;
+    /** What is kept of that time for the last answers to go out. */
+    private static final long MARGIN = 300 * Units.TENTHS_PER_MS;
     private static final long FLUSHED_AFTER = 50;
 
     private final WallClock clock = new WallClock();
@@ -73,12 +75,13 @@
         if (drainedFrom == Long.MAX_VALUE || drained < STILL_COMING) {
             return false;
         }
-        if (drained >= OUT_BY && !broken) {
+        long outBy = STILL_COMING + Math.min(LONGEST, gateway.longestHardStop()) - MARGIN;
+        if (drained >= outBy && !broken) {
             broken = true;
             gateway.breakOffAll();
             gateway.settle();
         }
-        return gateway.allAnswered() || drained >= OUT_BY + FLUSHED_AFTER * Units.TENTHS_PER_MS;
+        return gateway.allAnswered() || drained >= outBy + FLUSHED_AFTER * Units.TENTHS_PER_MS;
     }
 
     /** SIGTERM came: waits until the last answer is out. */
--- a/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -1,7 +1,9 @@
 package tillerlink.net.state;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -26,24 +28,33 @@
     private static final String HEALTH = "/healthz";
     private static final int OPEN_MOST = 4096;
     private static final int HEAP_SHARE = 4;
+    /** A client that would wait longer than this many of the longest hard stops is none of ours. */
+    private static final int PATIENCE_MOST = 2;
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
-    private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
-    private static final long STALLED_MOST = 10_000 * Units.TENTHS_PER_MS;
 
     private final Gateway gateway;
     private final Map<String, Integer> tracks = new HashMap<>();
+    /** The tracks whose submissions bear a mark against repeats. */
+    private final Set<Integer> marked = new HashSet<>();
     private final Map<String, Call> calls = new LinkedHashMap<>();
     private final Set<ClientLink> clients = new LinkedHashSet<>();
+    private final int clientsMost;
     private final long openMost;
+    private long longestHardStop = 1;
     private final long comeBack;
     private final long bytesMost = Runtime.getRuntime().maxMemory() / HEAP_SHARE;
     private long bytes;
     private boolean draining;
 
-    ClientDoor(Gateway gateway, Named terms) {
+    ClientDoor(Gateway gateway, Named terms, int clientsMost) {
         this.gateway = gateway;
+        this.clientsMost = clientsMost;
         for (int i = 0; i < terms.number("profiles", 0); i++) {
             tracks.put(terms.text("profiles." + i + ".name"), i);
+            if (terms.text("profiles." + i + ".semantics").equals("by_key")) {
+                marked.add(i);
+            }
+            longestHardStop = Math.max(longestHardStop, terms.number("profiles." + i + ".hard_limit", 1));
         }
         openMost = Math.min(OPEN_MOST, terms.number("caps.max_open", OPEN_MOST));
         comeBack = terms.flag("caps.retry_after") ? terms.number("caps.max_retry_after", 0) : 0;
@@ -51,9 +62,18 @@
 
     // ---- connections ----
 
+    /**
+     * Guards usual clients against those that connect and say nothing: at the bound, what is of least use goes, the
+     * longest quiet first; the newcomer only if all others have a call open.
+     */
     ClientLink accepted(Pipe pipe) {
         ClientLink client = new ClientLink(this, pipe);
         clients.add(client);
+        if (clients.size() > clientsMost) {
+            clients.stream().filter(other -> other != client && other.use() != ClientLink.Use.OPEN)
+                    .min(Comparator.comparing(ClientLink::use).thenComparing(ClientLink::quietSince))
+                    .orElse(client).drop();
+        }
         return client;
     }
 
@@ -66,6 +86,19 @@
         bytes += more;
     }
 
+    /** Whether as much is kept for clients as may be. */
+    boolean full() {
+        return bytes > bytesMost;
+    }
+
+    HttpAnswer full(long stayAway) {
+        return HttpAnswer.problem(503, "Full", stayAway / Units.TENTHS_PER_MS);
+    }
+
+    long comeBack() {
+        return comeBack;
+    }
+
     long now() {
         return gateway.now();
     }
@@ -74,7 +107,7 @@
 
     void called(ClientLink client, HttpItem item) {
         if (item instanceof HttpFault fault) {
-            client.answer(HttpAnswer.problem(fault.status(), fault.cause(), 0).ending());
+            client.refuse(HttpAnswer.problem(fault.status(), fault.cause(), 0));
             return;
         }
         HttpCall http = (HttpCall) item;
@@ -98,7 +131,7 @@
                 }
                 client.answer(call == null ? HttpAnswer.unknown() : HttpAnswer.done());
             }
-            default -> client.answer(HttpAnswer.problem(405, "Method", 0).ending());
+            default -> client.refuse(HttpAnswer.problem(405, "Method", 0));
         }
     }
 
@@ -119,9 +152,15 @@
             client.answer(HttpAnswer.problem(400, e.getMessage(), 0));
             return;
         }
-        if (calls.containsKey(ask.id())) {
+        Call known = calls.get(ask.id());
+        boolean tooLong = ask.patience() > PATIENCE_MOST * longestHardStop;
+        if (tooLong || ask.key() == null && marked.contains(track)) {
+            client.answer(HttpAnswer.problem(400, tooLong ? "X-Deadline-Ms" : "X-Operation-Key", 0));
+        } else if (known != null && !known.left && known.ask.same(ask)) {
+            client.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
+        } else if (known != null) {
             client.answer(HttpAnswer.problem(409, "Known", 0));
-        } else if (calls.size() >= openMost || bytes > bytesMost) {
+        } else if (calls.size() >= openMost || full()) {
             gateway.rarely("no room for a further submission: " + calls.size() + " with " + bytes + " bytes");
             client.answer(full(comeBack));
         } else {
@@ -179,10 +218,6 @@
         answer(call, HttpAnswer.problem(500, "Error", 0));
     }
 
-    private static HttpAnswer full(long stayAway) {
-        return HttpAnswer.problem(503, "Full", stayAway / Units.TENTHS_PER_MS);
-    }
-
     private void answer(Call call, HttpAnswer answer) {
         if (call.settled()) {
             return;
@@ -216,7 +251,7 @@
                 i.remove();
             }
         }
-        List.copyOf(clients).forEach(client -> client.sweep(STALLED_MOST, IDLE_MOST));
+        List.copyOf(clients).forEach(ClientLink::sweep);
     }
 
     /** From now on the gateway is on its way out; it goes on serving what comes. */
@@ -224,6 +259,10 @@
         draining = true;
     }
 
+    long longestHardStop() {
+        return longestHardStop;
+    }
+
     /** Whether every answer is out. */
     boolean allAnswered() {
         return calls.values().stream().allMatch(call -> call.left || call.handedOut)
--- a/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/src/main/java/tillerlink/net/state/ClientLink.java
@@ -4,9 +4,21 @@
 import tillerlink.net.wire.HttpAnswer;
 import tillerlink.net.wire.HttpItem;
 import tillerlink.net.wire.HttpReader;
+import tillerlink.plain.Units;
 
 /** A client's connection: one call at a time, and the next is read when the answer to the one before is out. */
 final class ClientLink implements Pipe.Owner {
+    /** Of how much use a connection is, least first. */
+    enum Use { OVER, UNSPOKEN, IDLE, OPEN }
+
+    /** How long the first whole call may take from the connect on, and a later one from its first byte on. */
+    private static final long CALL_MOST = 2500 * Units.TENTHS_PER_MS;
+    /** Clients close what they leave idle for 4 s. */
+    private static final long IDLE_MOST = 5000 * Units.TENTHS_PER_MS;
+    private static final long STALLED_MOST = 5000 * Units.TENTHS_PER_MS;
+    /** How long, and how much, is read and thrown away after a refusal: an early close might overtake it. */
+    private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
+    private static final int DISCARDED_MOST = 262_144;
     /** More than this beside a call in hand, and nothing further is read until that is answered. */
     private static final int PIPELINED_MOST = 16_384;
 
@@ -19,6 +31,13 @@
     private boolean lastCall;
     private boolean held;
     private boolean over;
+    /** A whole call has come. */
+    private boolean spoken;
+    /** When the call that is being read began to come: the first with the connect. */
+    private long callSince;
+    /** Bytes of it that are counted as kept. */
+    private int counted;
+    private int discarded;
     /** What it waits for, or null. */
     Call waitsFor;
     /** What it handed in by its latest call, or null. */
@@ -29,6 +48,16 @@
         this.door = door;
         this.pipe = pipe;
         quietSince = door.now();
+        callSince = quietSince;
+    }
+
+    Use use() {
+        boolean open = inHand || sending() || handedIn != null && !handedIn.settled();
+        return over ? Use.OVER : open ? Use.OPEN : spoken ? Use.IDLE : Use.UNSPOKEN;
+    }
+
+    long quietSince() {
+        return quietSince;
     }
 
     @Override
@@ -39,13 +68,26 @@
     @Override
     public void fed(byte[] bytes) {
         if (over) {
+            discard(bytes.length);
             return;
         }
         if (!reader.midway()) {
             quietSince = door.now();
+            callSince = spoken ? quietSince : callSince;
         }
         reader.feed(bytes);
         read();
+        if (!inHand && !over && door.full() && reader.waiting() > PIPELINED_MOST) {
+            refuse(door.full(door.comeBack()));
+        }
+    }
+
+    private void discard(int more) {
+        discarded += more;
+        if (discarded > DISCARDED_MOST && !held) {
+            held = true;
+            pipe.hold(true);
+        }
     }
 
     @Override
@@ -71,9 +113,15 @@
         }
         unsent.forEach(size -> door.held(-size));
         unsent.clear();
+        count(0);
         door.forget(this);
     }
 
+    private void count(int kept) {
+        door.held(kept - counted);
+        counted = kept;
+    }
+
     private void read() {
         if (!inHand && !over) {
             HttpItem item = reader.next();
@@ -82,10 +130,13 @@
             }
             if (item != null) {
                 inHand = true;
+                spoken = true;
+                callSince = door.now();
                 handedIn = null;
                 door.called(this, item);
             }
         }
+        count(reader.waiting());
         boolean hold = inHand && reader.waiting() > PIPELINED_MOST;
         if (hold != held && !over) {
             held = hold;
@@ -113,32 +164,38 @@
             return;
         }
         waitsFor = null;
-        boolean last = lastCall || answer.last();
         quietSince = door.now();
-        write((last ? answer.ending() : answer).encoded());
-        if (last) {
+        write((lastCall ? answer.ending() : answer).encoded());
+        if (lastCall) {
             over = true;
             pipe.close();
         }
     }
 
+    /** Answers what can't be read on from; the client may be sending still. */
+    void refuse(HttpAnswer answer) {
+        quietSince = door.now();
+        write(answer.ending().encoded());
+        over = true;
+    }
+
     boolean sending() {
         return !unsent.isEmpty();
     }
 
     /**
-     * Guards against clients that come and then stall: with half a call or with an answer that they don't read for
-     * the one span, with nothing at all for the other. A call that waits for its answer may take its time.
+     * Guards against clients that come and say nothing, send half a call, trickle, stay after one, or don't read. A
+     * call that waits for its answer may take its time.
      */
-    void sweep(long stalledMost, long idleMost) {
-        long quiet = door.now() - quietSince;
-        if (sending() || over) {
-            if (quiet >= stalledMost) {
+    void sweep() {
+        long now = door.now();
+        if (over || sending()) {
+            if (now >= quietSince + (over && !sending() ? LINGER : STALLED_MOST)) {
                 drop();
             }
-        } else if (!inHand && reader.midway() && quiet >= stalledMost) {
-            answer(HttpAnswer.problem(408, "Timeout", 0).ending());
-        } else if (!inHand && quiet >= idleMost) {
+        } else if (!inHand && reader.midway() && now >= callSince + CALL_MOST) {
+            refuse(HttpAnswer.problem(408, "Timeout", 0));
+        } else if (!inHand && now >= quietSince + (spoken ? IDLE_MOST : CALL_MOST)) {
             drop();
         }
     }
@@ -147,5 +204,6 @@
     void drop() {
         over = true;
         pipe.drop();
+        door.forget(this);
     }
 }
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -60,7 +60,7 @@
         connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
         idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
-        clients = new ClientDoor(this, terms);
+        clients = new ClientDoor(this, terms, assignment.clientsMost());
         engines = new EngineList(terms);
         names = new NameService(driver, assignment.seed());
         steering = factory.start(now, assignment.seed(), plain, this);
@@ -303,6 +303,11 @@
         clients.drain();
     }
 
+    /** No client waits longer than this. */
+    public long longestHardStop() {
+        return clients.longestHardStop();
+    }
+
     /** Whether every answer is out. */
     public boolean allAnswered() {
         return clients.allAnswered();
--- a/src/main/java/tillerlink/net/wire/Ask.java
+++ b/src/main/java/tillerlink/net/wire/Ask.java
@@ -1,6 +1,8 @@
 package tillerlink.net.wire;
 
-import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Objects;
 import tillerlink.plain.Units;
 
 /**
@@ -12,7 +14,7 @@
                   int tableGroup, byte[] statement) {
     private static final int ID_DIGITS = 16;
     private static final int KEY_MOST = 64;
-    private static final double PATIENCE_MOST_MS = 3_600_000;
+    private static final int DIGITS_MOST = 7;
 
     /** @throws IllegalArgumentException if a header is missing or can't be used; the message names it */
     public static Ask of(HttpCall call) {
@@ -24,14 +26,18 @@
         if (key != null && (key.isEmpty() || key.length() > KEY_MOST || !key.chars().allMatch(Ask::plain))) {
             throw new IllegalArgumentException("X-Operation-Key");
         }
-        double patience = amount(call, "x-deadline-ms");
-        if (!(patience > 0 && patience <= PATIENCE_MOST_MS)) {
+        double patience = amount(call, "X-Deadline-Ms");
+        if (patience <= 0) {
             throw new IllegalArgumentException("X-Deadline-Ms");
         }
+        String statement = Ascii.utf8(call.body());
+        if (statement.isBlank() || statement.indexOf('\0') >= 0) {
+            throw new IllegalArgumentException("no statement");
+        }
         return new Ask(id, call.path().substring(call.path().lastIndexOf('/') + 1),
                 (long) (patience * Units.TENTHS_PER_MS), "1".equals(call.fields().get("x-resent")), key,
-                amount(call, "x-estimate-ms") * Units.TENTHS_PER_MS, amount(call, "x-space"),
-                Statement.tableGroup(new String(call.body(), StandardCharsets.UTF_8)), call.body());
+                amount(call, "X-Estimate-Ms") * Units.TENTHS_PER_MS, amount(call, "X-Space"),
+                Statement.tableGroup(statement), call.body());
     }
 
     private static boolean hexDigit(int c) {
@@ -42,19 +48,20 @@
         return Ascii.letterOrDigit(c) || c == '-' || c == '_' || c == '.';
     }
 
+    /** Digits, and a fraction at most: what else a parser would take (1e9, NaN, 0x1p3) no client of ours sends. */
     private static double amount(HttpCall call, String name) {
-        String text = call.fields().get(name);
-        if (text == null) {
-            return 0;
-        }
-        try {
-            double amount = Double.parseDouble(text);
-            if (amount >= 0 && amount < 1e12) {
-                return amount;
-            }
-        } catch (NumberFormatException e) {
-            // Told below with the name of the header.
+        String text = call.fields().getOrDefault(name.toLowerCase(Locale.ROOT), "0");
+        int point = text.indexOf('.');
+        String whole = point < 0 ? text : text.substring(0, point);
+        String part = point < 0 ? "0" : text.substring(point + 1);
+        if (!Ascii.digits(whole) || !Ascii.digits(part) || whole.length() > DIGITS_MOST || part.length() > DIGITS_MOST) {
+            throw new IllegalArgumentException(name);
         }
-        throw new IllegalArgumentException(name);
+        return Double.parseDouble(text);
+    }
+
+    /** Whether another is the same submission once more, made again by a client whose connection broke. */
+    public boolean same(Ask other) {
+        return track.equals(other.track) && Objects.equals(key, other.key) && Arrays.equals(statement, other.statement);
     }
 }
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -17,14 +17,14 @@
                          Map<String, Object> terms, List<EngineNews> known) {
     private static final int HEX = 16;
 
-    /** Half of the descriptors are for clients. */
+    /** Two fifths of the descriptors are for clients: these hold a third at most. */
     public int clientsMost() {
-        return sockets / 2;
+        return sockets * 2 / 5;
     }
 
-    /** A quarter is for engines; the process itself and a burst in the backlog have the rest. */
+    /** A third is for engines; the process itself and a burst of newcomers have the rest. */
     public int linksMost() {
-        return sockets / 4;
+        return sockets / 3;
     }
 
     /** @throws IOException if it can't be read or is not what it should be; the message says what */
--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -106,7 +106,7 @@
             s.post("c1", String.format("%016x", i), "look");
         }
         s.quiet(false).post("c1", "00000000000f00a1", "look").say("answers that nobody fetches are kept until their clients have gone");
-        s.quiet(true).pass(6000).quiet(false).post("c1", ID, "look").matches("net-full");
+        s.quiet(true).pass(6000).quiet(false).post("c2", ID, "look").matches("net-full");
     }
 
     @Test
@@ -125,16 +125,43 @@
             s.client("c1", head + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n").breaks("c1", Break.CLOSED_BY_PEER);
         }
         for (String fields : List.of("", "X-Correlation-Id: 12\r\nX-Deadline-Ms: 5\r\n", "X-Correlation-Id: " + ID + "\r\n",
-                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: soon\r\n", "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Space: -1\r\n",
+                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: soon\r\n", "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 10001\r\n",
+                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Space: -1\r\n",
+                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Estimate-Ms: 1e9\r\n",
+                "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Estimate-Ms: 5d\r\n",
                 "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\nX-Operation-Key: a,b\r\n")) {
-            s.client("c2", "POST /v1/look HTTP/1.1\r\nHost: a\r\n" + fields + "Content-Length: 0\r\n\r\n");
+            s.client("c2", "POST /v1/look HTTP/1.1\r\nHost: a\r\n" + fields + "Content-Length: 8\r\n\r\nSELECT 1");
         }
+        s.say("a load without its mark, nothing to run, no text").post("c2", ID, "load");
+        String usable = "POST /v1/look HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 5\r\n";
+        s.client("c2", usable + "Content-Length: 0\r\n\r\n").client("c2", usable + "Content-Length: 1\r\n\r\n\0");
         s.say("a body that waits to be asked for").client("c3", "POST /v1/look HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
                 + "X-Correlation-Id: " + ID + "\r\nX-Deadline-Ms: 50\r\nContent-Length: 8\r\n\r\n").client("c3", "SELECT 1");
-        s.say("the same id again").post("c2", ID, "look").say("half a call").client("c4", "POST /v1/lo").pass(11000);
+        s.say("the same once more, for a client whose connection broke; the id with another statement").post("c2", ID, "look")
+                .client("c2", usable + "Content-Length: 8\r\n\r\nSELECT 2");
+        s.say("a body that hides a call").client("c5", usable + "Content-Length: 8\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET ");
+        s.say("60 MB to come: refused, what comes is thrown away for a while, then no longer read")
+                .client("c6", usable + "Content-Length: 60000000\r\n\r\n").client("c6", "x".repeat(200_000)).client("c6", "x".repeat(200_000));
+        s.say("half a call").client("c4", "POST /v1/lo").pass(1000).say("and a little more").client("c4", "ok").pass(10000);
         s.matches("net-bad-calls");
     }
 
+    /** Guards usual clients against those that take up connections and say nothing. */
+    @Test
+    void atTheBoundWhatIsOfLeastUseGoes() {
+        Stage s = new Stage().post("busy", ID, "look").get("busy", ID).client("idle", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        s.quiet(true).pass(500).client("mute0", "").pass(10);
+        for (int i = 3; i < 409; i++) {
+            s.client("mute" + i, i % 2 == 0 ? "" : "POST");
+        }
+        s.quiet(false).say("409 are connected").client("late1", "").client("late2", "");
+        s.quiet(true);
+        for (int i = 0; i < 409; i++) {
+            s.client("usual" + i, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        }
+        s.quiet(false).say("with none left that never spoke, the longest idle").client("last", "").matches("net-bound");
+    }
+
     @Test
     void pipelinedCallsAreReadWhenTheAnswerBeforeIsOut() {
         Stage s = new Stage().stuck();
@@ -194,7 +221,8 @@
                     5_000_000L, "worth", 1.0, "late_worth", 0.5);
             Map<String, Object> book = Map.of("name", "book", "semantics", "once", "aim_us", 1_000_000L, "hard_limit_us",
                     5_000_000L, "worth", 1.0, "late_worth", 0.5);
-            Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book), "models", List.of("std"), "zones",
+            Map<String, Object> load = Map.of("name", "load", "semantics", "by_key", "aim_us", 1_000_000L, "hard_limit_us", 5_000_000L);
+            Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book, load), "models", List.of("std"), "zones",
                     List.of("east"), "tick_us", 5000L, "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
             EngineNews known = new EngineNews(1, true, List.of(entry("e1", "127.0.0.1"), entry("e2", "127.0.0.2")));
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
