--- a/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import tillerlink.model.Named;
 import tillerlink.net.wire.Ask;
@@ -62,21 +63,26 @@
 
     // ---- connections ----
 
-    /**
-     * Guards usual clients against those that connect and say nothing: at the bound, what is of least use goes, the
-     * longest quiet first; the newcomer only if all others have a call open.
-     */
     ClientLink accepted(Pipe pipe) {
         ClientLink client = new ClientLink(this, pipe);
         clients.add(client);
-        if (clients.size() > clientsMost) {
-            clients.stream().filter(other -> other != client && other.use() != ClientLink.Use.OPEN)
-                    .min(Comparator.comparing(ClientLink::use).thenComparing(ClientLink::quietSince))
-                    .orElse(client).drop();
-        }
+        makeRoom();
         return client;
     }
 
+    /**
+     * Guards usual clients against those that connect by hundreds and say nothing, or ask once and stay: beyond the
+     * bound, what is of least use goes, the longest quiet first. If nothing may go yet, newcomers wait in the backlog.
+     */
+    private void makeRoom() {
+        for (boolean room = true; room && clients.size() > clientsMost;) {
+            Optional<ClientLink> least = clients.stream().filter(ClientLink::mayGo)
+                    .min(Comparator.comparing(ClientLink::use).thenComparing(ClientLink::quietSince));
+            least.ifPresent(ClientLink::drop);
+            room = least.isPresent();
+        }
+    }
+
     void forget(ClientLink client) {
         clients.remove(client);
     }
@@ -252,6 +258,7 @@
             }
         }
         List.copyOf(clients).forEach(ClientLink::sweep);
+        makeRoom();
     }
 
     /** From now on the gateway is on its way out; it goes on serving what comes. */
--- a/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/src/main/java/tillerlink/net/state/ClientLink.java
@@ -9,12 +9,13 @@
 /** A client's connection: one call at a time, and the next is read when the answer to the one before is out. */
 final class ClientLink implements Pipe.Owner {
     /** Of how much use a connection is, least first. */
-    enum Use { OVER, UNSPOKEN, IDLE, OPEN }
+    enum Use { OVER, UNSPOKEN, ONCE, IDLE, OPEN }
 
     /** How long the first whole call may take from the connect on, and a later one from its first byte on. */
     private static final long CALL_MOST = 2500 * Units.TENTHS_PER_MS;
     /** Clients close what they leave idle for 4 s. */
     private static final long IDLE_MOST = 5000 * Units.TENTHS_PER_MS;
+    private static final long GRACE = 100 * Units.TENTHS_PER_MS;
     private static final long STALLED_MOST = 5000 * Units.TENTHS_PER_MS;
     /** How long, and how much, is read and thrown away after a refusal: an early close might overtake it. */
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
@@ -33,6 +34,7 @@
     private boolean over;
     /** A whole call has come. */
     private boolean spoken;
+    private int handedInSoFar;
     /** When the call that is being read began to come: the first with the connect. */
     private long callSince;
     /** Bytes of it that are counted as kept. */
@@ -53,13 +55,18 @@
 
     Use use() {
         boolean open = inHand || sending() || handedIn != null && !handedIn.settled();
-        return over ? Use.OVER : open ? Use.OPEN : spoken ? Use.IDLE : Use.UNSPOKEN;
+        return over ? Use.OVER : open ? Use.OPEN : !spoken ? Use.UNSPOKEN : handedInSoFar < 2 ? Use.ONCE : Use.IDLE;
     }
 
     long quietSince() {
         return quietSince;
     }
 
+    /** Whether it may go at the bound: not before its client had time to speak, even if this machine stood still. */
+    boolean mayGo() {
+        return use() != Use.OPEN && door.now() >= quietSince + GRACE;
+    }
+
     @Override
     public void opened() {
         // It was accepted open.
@@ -157,6 +164,7 @@
 
     void handedIn(Call call) {
         handedIn = call;
+        handedInSoFar++;
     }
 
     void answer(HttpAnswer answer) {
