--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,15 @@
-# make build | test | lint | run; run takes CONFIG=path, by default the example's.
+# make build | classes | test | lint | run; run takes CONFIG=path, by default the example's.
 CONFIG ?= examples/configuration.json
-RUN = $(shell sed -n 's/^run = "\(.*\)".*/\1/p' deploy/balancer.toml)
+RUN = $(shell sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
+BUILD = $(shell sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run
+.PHONY: build classes test lint run
 build:
-	mvn -q -DskipTests package
+	$(BUILD)
+
+# The classes that a gateway loads, for its archive: run it, use it, end it with Ctrl-C. To be made anew when libraries change.
+classes: build
+	EDGE_CONFIG=$(CONFIG) sh -c '$(subst -XX:SharedArchiveFile=target/tillerlink.jsa,-XX:DumpLoadedClassList=deploy/classes.lst,$(RUN))'
 
 test:
 	mvn -B -ntp clean verify
