--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 import tillerlink.net.io.MinaDriver;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
@@ -42,10 +41,11 @@
         }
         Path path = Path.of(file);
         Assignment assignment = Assignment.read(path);
+        new Rehearsal(assignment, modules, clock.now()).play();
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now());
-        Signal.handle(new Signal("HUP"), signal -> reload(path, driver));
+        onHangUp(() -> reload(path, driver));
         driver.listen(assignment.listen());
         LOG.info("{} listens on {}", assignment.name(), assignment.listen());
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
@@ -56,6 +56,11 @@
         }
     }
 
+    /** The JDK has no other way to hear of a signal; without this the process ends on it. */
+    private static void onHangUp(Runnable reload) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload.run());
+    }
+
     /**
      * SIGHUP came: the name service is asked where the configuration says now; all else goes on. Runs on a thread of
      * the signal's own, one after the other: of two that come at once, the later reading holds.
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -60,6 +60,7 @@
         connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
         idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
+        countAt = now + COUNT_EVERY;
         clients = new ClientDoor(this, terms, assignment.clientsMost());
         engines = new EngineList(terms);
         names = new NameService(driver, assignment.seed());
--- a/src/main/java/tillerlink/net/wire/Ask.java
+++ b/src/main/java/tillerlink/net/wire/Ask.java
@@ -14,7 +14,7 @@
                   int tableGroup, byte[] statement) {
     private static final int ID_DIGITS = 16;
     private static final int KEY_MOST = 64;
-    private static final int DIGITS_MOST = 7;
+    private static final int DIGITS_MOST = 9;
 
     /** @throws IllegalArgumentException if a header is missing or can't be used; the message names it */
     public static Ask of(HttpCall call) {
@@ -54,7 +54,7 @@
         int point = text.indexOf('.');
         String whole = point < 0 ? text : text.substring(0, point);
         String part = point < 0 ? "0" : text.substring(point + 1);
-        if (!Ascii.digits(whole) || !Ascii.digits(part) || whole.length() > DIGITS_MOST || part.length() > DIGITS_MOST) {
+        if (!Ascii.digits(whole) || !Ascii.digits(part) || text.length() > DIGITS_MOST) {
             throw new IllegalArgumentException(name);
         }
         return Double.parseDouble(text);
--- a/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/src/main/java/tillerlink/net/wire/Assignment.java
@@ -17,6 +17,12 @@
                          Map<String, Object> terms, List<EngineNews> known) {
     private static final int HEX = 16;
 
+    /** The names of the tracks. */
+    public List<String> tracks() {
+        return list(terms.getOrDefault("profiles", List.of()), "profiles").stream()
+                .map(track -> text(object(track, "a profile"), "name")).toList();
+    }
+
     /** Two fifths of the descriptors are for clients: these hold a third at most. */
     public int clientsMost() {
         return sockets * 2 / 5;
--- a/src/test/java/tillerlink/net/life/TurnsTest.java
+++ b/src/test/java/tillerlink/net/life/TurnsTest.java
@@ -1,6 +1,7 @@
 package tillerlink.net.life;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
@@ -8,10 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import tillerlink.Policy;
+import tillerlink.model.Engine;
 import tillerlink.net.state.Driver;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
 import tillerlink.net.wire.Assignment;
+import tillerlink.net.wire.EngineEntry;
+import tillerlink.net.wire.EngineNews;
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
 
@@ -38,6 +43,25 @@
         assertEquals(List.of("settle", "heard", "woken", "settle"), happened);
     }
 
+    /** Guards the first seconds: all that a submission passes through has been played often enough to be compiled. */
+    @Test
+    void theRehearsalPlaysSubmissionsToTheirEnd() {
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
+        Map<String, Object> terms = Map.of("profiles", List.of(Map.of("name", "look", "semantics", "repeatable",
+                "aim_us", 1_000_000L, "hard_limit_us", 4_000_000L)), "caps", Map.of("max_attempts", 2L));
+        EngineEntry engine = new EngineEntry("e1", "127.0.0.1", 2, "east", "std", 0, Engine.Standing.READY, 1, 0);
+        Assignment assignment = new Assignment("n0", any, any, 7, 1024, terms, List.of(new EngineNews(1, true, List.of(engine))));
+        new Rehearsal(assignment, (now, seed, settings, orders) -> {
+            Steering module = new Policy(now, seed, settings, orders);
+            return (Steering) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Steering.class},
+                    (proxy, method, values) -> {
+                        happened.add(method.getName().equals("ended") ? values[2].toString() : method.getName());
+                        return method.invoke(module, values);
+                    });
+        }, START).play();
+        assertTrue(happened.stream().filter("FULFILLED"::equals).count() > 20, happened::toString);
+    }
+
     /** The machine goes on where it stood; only after a moment its other threads read what had come. */
     private long clock() {
         if (++reads == 2) {
