Send nothing over a connection that was still coming up to where an engine no longer is

By reading: a connection dialed to an engine's old address kept its waiting hops when the list named another address, start or end, and sent them to whoever listens there by then; and lost pages were asked for again of an engine that is gone. Such a connection now ends, its hops were never sent, and pages are not asked for of the gone. Also by reading: a configuration without tracks would have ended the rehearsal, and the gateway with it, by a division; a rehearsal that breaks off is now a warning. Test: net-news (fails without).

--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -41,7 +41,11 @@
         }
         Path path = Path.of(file);
         Assignment assignment = Assignment.read(path);
-        new Rehearsal(assignment, modules, clock.now()).play();
+        try {
+            new Rehearsal(assignment, modules, clock.now()).play();
+        } catch (RuntimeException e) {
+            LOG.warn("the rehearsal broke off; the gateway starts without", e);
+        }
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now());
--- a/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -34,6 +34,9 @@
     }
 
     void play() {
+        if (assignment.tracks().isEmpty()) {
+            return;
+        }
         long until = System.nanoTime() + NANOS_MOST;
         client = gateway.accepted(new Played());
         for (int i = 0; i < ROUNDS && System.nanoTime() < until; i++) {
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -57,9 +57,10 @@
         return !retired && !silent && !over && flights.size() < most && !flights.containsKey(id) && !ended.contains(id);
     }
 
+    /** Takes no new hops. One that is still coming up would send to whoever is at its address by then: it ends. */
     void retire() {
         retired = true;
-        if (flights.isEmpty()) {
+        if (flights.isEmpty() || !open) {
             end(Break.CLOSED_BY_US);
         }
     }
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tillerlink.model.Engine;
 import tillerlink.model.Hop;
 import tillerlink.model.Listed;
 import tillerlink.model.Named;
@@ -250,8 +251,10 @@
      * keeps pages, so nothing runs again. False if it can't be, or was tried too often.
      */
     boolean mend(Flight flight) {
-        EngineLink link = flight.pages == null || flight.mended >= MENDS_MOST || !flight.hop.isOut() ? null
-                : linkFor((EngineSite) flight.hop.engine.tag, flight.call);
+        Engine engine = flight.hop.engine;
+        boolean mends = flight.pages != null && flight.mended < MENDS_MOST && flight.hop.isOut()
+                && engine.standing != Engine.Standing.GONE;
+        EngineLink link = mends ? linkFor((EngineSite) engine.tag, flight.call) : null;
         if (link != null) {
             flight.mended++;
             link.send(flight);
--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -182,6 +182,8 @@
                 .post("c2", "00000000000000a3", "look");
         s.say("another engine under its address").news(6, "e2 ready 127.0.0.1:5050 east std 0 0")
                 .post("c3", "00000000000000a4", "look").connected(2);
+        s.say("restarted elsewhere while a connection to it comes up: what waits for that goes anew").fresh()
+                .post("c1", ID, "book").get("c1", ID).news(5, "e1 ready 127.0.0.3:5050 east std 0 1700000000000").connected(1);
         s.matches("net-news");
     }
 
