--- a/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -15,9 +15,9 @@
  * the first seconds: code that was not yet called is not compiled and takes many times as long, on part of a core.
  */
 final class Rehearsal implements Driver {
-    private static final int ROUNDS = 250;
+    private static final int ROUNDS = 600;
     private static final long STEP = 20 * Units.TENTHS_PER_MS;
-    private static final long NANOS_MOST = 800_000_000;
+    private static final long NANOS_MOST = 1_500_000_000;
     private static final String STATEMENT = "SELECT day, count(*) FROM a_1.b WHERE t = 'x' GROUP BY day";
     private static final String ROW = "a\tb\tc\n";
 
