--- a/src/main/java/tillerlink/model/Outcome.java
+++ b/src/main/java/tillerlink/model/Outcome.java
@@ -19,7 +19,6 @@
     public final boolean provesIdle;
     /** The submission may still be running. */
     public final boolean leavesDoubt;
-
     /** The engine itself answered. */
     public final boolean heard;
 
--- a/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -234,8 +234,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            MinaPipe pipe = pipe(session);
-            pipe.read(taken(message));
+            pipe(session).read(taken(message));
         }
 
         @Override
--- a/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.List;
 import tillerlink.net.state.Driver;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
@@ -34,15 +35,15 @@
     }
 
     void play() {
-        if (assignment.tracks().isEmpty()) {
+        List<String> tracks = assignment.tracks();
+        if (tracks.isEmpty()) {
             return;
         }
         long until = System.nanoTime() + NANOS_MOST;
         client = gateway.accepted(new Played());
         for (int i = 0; i < ROUNDS && System.nanoTime() < until; i++) {
             String id = String.format("%016x", i);
-            String track = assignment.tracks().get(i % assignment.tracks().size());
-            say("POST /v1/" + track + " HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: " + id + "\r\nX-Deadline-Ms: 500\r\n"
+            say("POST /v1/" + tracks.get(i % tracks.size()) + " HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: " + id + "\r\nX-Deadline-Ms: 500\r\n"
                     + "X-Estimate-Ms: 10.5\r\nX-Space: 20\r\nX-Operation-Key: " + id
                     + "\r\nContent-Length: " + STATEMENT.length() + "\r\n\r\n" + STATEMENT);
             say("GET /v1/calls/" + id + " HTTP/1.1\r\nHost: app\r\n\r\n");
--- a/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -97,12 +97,9 @@
         return bytes > bytesMost;
     }
 
-    HttpAnswer full(long stayAway) {
-        return HttpAnswer.problem(503, "Full", stayAway / Units.TENTHS_PER_MS);
-    }
-
-    long comeBack() {
-        return comeBack;
+    /** The answer to what there is no room for. */
+    HttpAnswer noRoom() {
+        return refusal(comeBack);
     }
 
     long now() {
@@ -168,7 +165,7 @@
             client.answer(HttpAnswer.problem(409, "Known", 0));
         } else if (calls.size() >= openMost || full()) {
             gateway.rarely("no room for a further submission: " + calls.size() + " with " + bytes + " bytes");
-            client.answer(full(comeBack));
+            client.answer(noRoom());
         } else {
             Call call = new Call(ask, track, now());
             calls.put(ask.id(), call);
@@ -217,13 +214,17 @@
     }
 
     void turnBack(Call call, long stayAway) {
-        answer(call, full(stayAway));
+        answer(call, refusal(stayAway));
     }
 
     void breakOff(Call call) {
         answer(call, HttpAnswer.problem(500, "Error", 0));
     }
 
+    private static HttpAnswer refusal(long stayAway) {
+        return HttpAnswer.problem(503, "Full", stayAway / Units.TENTHS_PER_MS);
+    }
+
     private void answer(Call call, HttpAnswer answer) {
         if (call.settled()) {
             return;
--- a/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/src/main/java/tillerlink/net/state/ClientLink.java
@@ -15,6 +15,7 @@
     private static final long CALL_MOST = 2500 * Units.TENTHS_PER_MS;
     /** Clients close what they leave idle for 4 s. */
     private static final long IDLE_MOST = 5000 * Units.TENTHS_PER_MS;
+    /** How long none is closed to make room for others: its first bytes may still wait here to be read. */
     private static final long GRACE = 100 * Units.TENTHS_PER_MS;
     private static final long STALLED_MOST = 5000 * Units.TENTHS_PER_MS;
     /** How long, and how much, is read and thrown away after a refusal: an early close might overtake it. */
@@ -62,7 +63,7 @@
         return quietSince;
     }
 
-    /** Whether it may go at the bound: not before its client had time to speak, even if this machine stood still. */
+    /** Whether it may go at the bound: not before its client had time to speak. */
     boolean mayGo() {
         return use() != Use.OPEN && door.now() >= quietSince + GRACE;
     }
@@ -85,7 +86,7 @@
         reader.feed(bytes);
         read();
         if (!inHand && !over && door.full() && reader.waiting() > PIPELINED_MOST) {
-            refuse(door.full(door.comeBack()));
+            refuse(door.noRoom());
         }
     }
 
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -91,12 +91,13 @@
         } else if (askedAt > 0 && !silent && now >= askedAt + connectMost / 2) {
             silent = true;
         }
-        if (silent && !over && site.heardSince(askedAt)) {
-            if (now >= askedAt + connectMost) {
-                end(Break.MUTE);
-            }
-        } else if (silent && !over) {
+        if (!silent || over) {
+            return;
+        }
+        if (!site.heardSince(askedAt)) {
             gateway.tryAnew(site);
+        } else if (now >= askedAt + connectMost) {
+            end(Break.MUTE);
         }
     }
 
