--- a/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -43,8 +43,8 @@
         client = gateway.accepted(new Played());
         for (int i = 0; i < ROUNDS && System.nanoTime() < until; i++) {
             String id = String.format("%016x", i);
-            say("POST /v1/" + tracks.get(i % tracks.size()) + " HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: " + id + "\r\nX-Deadline-Ms: 500\r\n"
-                    + "X-Estimate-Ms: 10.5\r\nX-Space: 20\r\nX-Operation-Key: " + id
+            say("POST /v1/" + tracks.get(i % tracks.size()) + " HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: " + id
+                    + "\r\nX-Deadline-Ms: 500\r\nX-Estimate-Ms: 10.5\r\nX-Space: 20\r\nX-Operation-Key: " + id
                     + "\r\nContent-Length: " + STATEMENT.length() + "\r\n\r\n" + STATEMENT);
             say("GET /v1/calls/" + id + " HTTP/1.1\r\nHost: app\r\n\r\n");
             now += STEP;
