--- a/src/main/java/tillerlink/net/life/Node.java
+++ b/src/main/java/tillerlink/net/life/Node.java
@@ -49,7 +49,10 @@
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now());
-        onHangUp(() -> reload(path, driver));
+        if (!onHangUp(() -> reload(path, driver))) {
+            LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
+            new Watch(path, () -> reload(path, driver)).start();
+        }
         driver.listen(assignment.listen());
         LOG.info("{} listens on {}", assignment.name(), assignment.listen());
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
@@ -60,13 +63,17 @@
         }
     }
 
-    /** The JDK has no other way to hear of a signal; without this the process ends on it. */
-    private static void onHangUp(Runnable reload) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload.run());
+    /**
+     * The JDK has no other way to hear of a signal; without this the process ends on it. False where the signal was
+     * ignored when this process started, as under nohup: then the JVM goes on ignoring it and calls nobody.
+     */
+    private static boolean onHangUp(Runnable reload) {
+        sun.misc.SignalHandler before = sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload.run());
+        return before != sun.misc.SignalHandler.SIG_IGN;
     }
 
     /**
-     * SIGHUP came: the name service is asked where the configuration says now; all else goes on. Runs on a thread of
+     * SIGHUP came, or the file changed where that can't be heard: the name service is asked where the configuration says now; all else goes on. Runs on a thread of
      * the signal's own, one after the other: of two that come at once, the later reading holds.
      */
     private synchronized void reload(Path path, MinaDriver driver) {
--- a/src/main/java/tillerlink/net/state/Break.java
+++ b/src/main/java/tillerlink/net/state/Break.java
@@ -18,6 +18,10 @@
     MUTE,
     /** No descriptor or no room was left for it here. */
     NO_ROOM,
+    /** Its engine was said to drain, or to be gone, before a word of the hop was written. */
+    WITHDRAWN,
+    /** The same, with a part of what was written still waiting here for a peer that does not read. */
+    HELD_BACK,
     CLOSED_BY_US;
 
     /**
@@ -29,8 +33,8 @@
             case SILENT -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
             // A connection that came up and broke says that somebody is there; only what it bore may be in doubt.
             case RESET, CLOSED_BY_PEER -> whole ? Outcome.SEVERED : Outcome.NEVER_SENT;
-            case GARBLED, MUTE -> whole ? Outcome.SPOILT : Outcome.NEVER_SENT;
-            case NO_ROOM -> Outcome.NEVER_SENT;
+            case GARBLED, MUTE, HELD_BACK -> whole ? Outcome.SPOILT : Outcome.NEVER_SENT;
+            case NO_ROOM, WITHDRAWN -> Outcome.NEVER_SENT;
             case CLOSED_BY_US -> whole ? Outcome.CALLED_OFF : Outcome.NEVER_SENT;
         };
     }
--- a/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/src/main/java/tillerlink/net/state/EngineLink.java
@@ -71,7 +71,8 @@
      * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
      * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt.
      * If another connection to that engine works, this one alone is dead: its hops are over and their answers lost.
-     * The same holds for half an answer whose rest does not come. It should hold against any cut; it may hurt where a
+     * The same holds for half an answer whose rest does not come. What still waits to go out to an engine that drains is
+     * never sent. It should hold against any cut; it may hurt where a
      * network loses everything for half a second.
      */
     void sweep(long connectMost, long idleMost) {
@@ -88,6 +89,8 @@
             write(EngineCommand.there(TAG));
         } else if (midwaySince > 0 && now >= midwaySince + connectMost) {
             end(Break.GARBLED);
+        } else if (!site.ready() && holdsBack(now - connectMost / 2)) {
+            end(Break.HELD_BACK);
         } else if (askedAt > 0 && !silent && now >= askedAt + connectMost / 2) {
             silent = true;
         }
@@ -134,15 +137,27 @@
         }
     }
 
-    /** Asks for its result, or for what it lacks of it. */
+    /**
+     * Asks for its result, or for what it lacks of it. Guards the drain: a hop that waited for the connection to come
+     * up is not sent to an engine that was said to drain meanwhile, for that may be past the grace. Pages are no new
+     * work.
+     */
     private void start(Flight flight) {
-        if (flight.pages == null) {
+        if (flight.pages != null) {
+            turnPages(flight);
+        } else if (site.ready()) {
             want(flight);
         } else {
-            turnPages(flight);
+            gateway.unsent(flight, Break.WITHDRAWN);
         }
     }
 
+    /** Whether part of a hop has waited longer than that to go out to a peer that does not read. */
+    private boolean holdsBack(long since) {
+        return flights.values().stream().anyMatch(flight -> flight.pages == null && flight.place != Flight.UNSENT
+                && flight.place > writesDone && flight.hop.sentAt <= since);
+    }
+
     private void want(Flight flight) {
         long left = gateway.millisLeft(flight.call);
         flight.place = write(EngineCommand.want(flight.call.ask.id(), flight.call.ask.track(), left,
--- a/src/main/java/tillerlink/net/state/EngineSite.java
+++ b/src/main/java/tillerlink/net/state/EngineSite.java
@@ -30,6 +30,11 @@
         }
     }
 
+    /** Whether new work may go there. */
+    boolean ready() {
+        return engine.standing == Engine.Standing.READY;
+    }
+
     void retireAll() {
         List.copyOf(links).forEach(EngineLink::retire);
     }
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/src/main/java/tillerlink/net/state/Gateway.java
@@ -230,12 +230,17 @@
         EngineLink link = linkFor(site, call);
         if (link == null) {
             rarely("no room for a further engine connection");
-            next.add(() -> ended(flight, Break.NO_ROOM.outcome(false)));
+            unsent(flight, Break.NO_ROOM);
         } else {
             link.send(flight);
         }
     }
 
+    /** Nothing of a hop was written, and nothing will be: the module hears of it in the next turn. */
+    void unsent(Flight flight, Break why) {
+        next.add(() -> ended(flight, why.outcome(false)));
+    }
+
     /**
      * One that bears nothing, else a new one, else the one that bears least. Guards against one spoilt answer, after
      * which a connection can't be read any more, that takes the hops beside it along.
--- a/src/test/java/tillerlink/GatewayTest.java
+++ b/src/test/java/tillerlink/GatewayTest.java
@@ -184,6 +184,10 @@
                 .post("c3", "00000000000000a4", "look").connected(2);
         s.say("restarted elsewhere while a connection to it comes up: what waits for that goes anew").fresh()
                 .post("c1", ID, "book").get("c1", ID).news(5, "e1 ready 127.0.0.3:5050 east std 0 1700000000000").connected(1);
+        s.say("drains while a connection to it comes up: nothing is written there").fresh().post("c1", ID, "book").get("c1", ID)
+                .news(5, "e1 draining 127.0.0.1:5050 east std 0 0", "e2 ready 127.0.0.2:5050 east std 0 0").connected(0);
+        s.say("drains while what was said still waits here for a peer that does not read").fresh().stuck().post("c1", ID, "book")
+                .get("c1", ID).connected(0).news(5, "e1 draining 127.0.0.1:5050 east std 0 0", "e2 ready 127.0.0.2:5050 east std 0 0").pass(100);
         s.matches("net-news");
     }
 
--- a/src/test/java/tillerlink/ServeTest.java
+++ b/src/test/java/tillerlink/ServeTest.java
@@ -139,6 +139,20 @@
         awaitHealth();
     }
 
+    /** Guards against a gateway that was started under nohup and never hears that the name service has moved. */
+    @Test
+    void readsItsConfigurationAgainWhereTheSignalIsIgnored() throws Exception {
+        start(configuration(), "sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        awaitHealth();
+        names.close();
+        names = new DatagramSocket(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+        names.setSoTimeout((int) PATIENCE.toMillis());
+        Files.writeString(folder.resolve("configuration.json"), configuration());
+        hangUp(started.get(0));
+        names.receive(new DatagramPacket(new byte[512], 512));
+        awaitHealth();
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
@@ -149,10 +163,12 @@
         return process.exitValue() + ": " + new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8).strip();
     }
 
-    private Process start(String configuration) throws IOException {
+    private Process start(String configuration, String... under) throws IOException {
         Path file = Files.writeString(folder.resolve("configuration.json"), configuration);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "tillerlink.Main", "serve");
+        List<String> line = new ArrayList<>(List.of(under));
+        line.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "tillerlink.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().put("EDGE_CONFIG", file.toString());
         started.add(builder.start());
         return started.get(started.size() - 1);
