--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,16 @@
-# make build | classes | test | lint | run; run takes CONFIG=path, by default the example's.
+# make build | tools | classes | test | lint | run; run takes CONFIG=path, by default the example's.
 CONFIG ?= examples/configuration.json
 RUN = $(shell sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 BUILD = $(shell sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 
-.PHONY: build classes test lint run
+.PHONY: build tools classes test lint run
 build:
 	$(BUILD)
 
+# The command line and all that stands beside the gateway: bin/tillerlink starts it.
+tools:
+	mvn -q -DskipTests package
+
 # The classes that a gateway loads, for its archive: run it, use it, end it with Ctrl-C. To be made anew when libraries change.
 classes: build
 	EDGE_CONFIG=$(CONFIG) sh -c '$(subst -XX:SharedArchiveFile=target/tillerlink.jsa,-XX:DumpLoadedClassList=deploy/classes.lst,$(RUN))'
@@ -21,9 +25,9 @@
 	mkdir -p target
 	mvn -B -ntp -l target/lint.log test-compile
 	! grep '^.WARNING.*[.]java' target/lint.log | grep -v 'sun.misc.Signal is internal'
-	! grep -rnE '.{111,}' src/main/java/tillerlink/Policy.java
-	! grep -rnE '.{121,}' src/main --include=*.java
-	! grep -rnE '.{151,}' src/test examples --include=*.java
+	! grep -rnE '.{111,}' gateway/src/main/java/tillerlink/Policy.java
+	! grep -rnE '.{121,}' */src/main --include=*.java
+	! grep -rnE '.{151,}' */src/test examples --include=*.java
 
 run: build
 	EDGE_CONFIG=$(CONFIG) sh -c '$(RUN)'
--- a/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -28,7 +28,6 @@
     private static final String SUBMIT = "/v1/";
     private static final String HEALTH = "/healthz";
     private static final int OPEN_MOST = 4096;
-    private static final int HEAP_SHARE = 4;
     /** A client that would wait longer than this many of the longest hard stops is none of ours. */
     private static final int PATIENCE_MOST = 2;
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
@@ -43,12 +42,13 @@
     private final long openMost;
     private long longestHardStop = 1;
     private final long comeBack;
-    private final long bytesMost = Runtime.getRuntime().maxMemory() / HEAP_SHARE;
+    private final long bytesMost;
     private long bytes;
     private boolean draining;
 
-    ClientDoor(Gateway gateway, Named terms, int clientsMost) {
+    ClientDoor(Gateway gateway, Named terms, int clientsMost, long bytesMost) {
         this.gateway = gateway;
+        this.bytesMost = bytesMost;
         this.clientsMost = clientsMost;
         for (int i = 0; i < terms.number("profiles", 0); i++) {
             tracks.put(terms.text("profiles." + i + ".name"), i);
--- a/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -32,6 +32,7 @@
     private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
     private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
     private static final int MENDS_MOST = 3;
+    private static final int HEAP_SHARE = 4;
 
     private final Driver driver;
     private final ClientDoor clients;
@@ -53,6 +54,11 @@
     private boolean unsettled;
 
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now) {
+        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
+    }
+
+    /** @param bytesMost how much may be kept for clients; beyond it no submission is taken */
+    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost) {
         this.driver = driver;
         this.now = now;
         Map<String, Object> plain = PlainNames.of(assignment.terms());
@@ -62,7 +68,7 @@
         idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
-        clients = new ClientDoor(this, terms, assignment.clientsMost());
+        clients = new ClientDoor(this, terms, assignment.clientsMost(), bytesMost);
         engines = new EngineList(terms);
         names = new NameService(driver, assignment.seed());
         steering = factory.start(now, assignment.seed(), plain, this);
@@ -113,7 +119,7 @@
         clients.sweep();
         if (now >= countAt) {
             countAt = now + COUNT_EVERY;
-            LOG.info("{}, {} engine connections, list {}", clients, links, engines.index());
+            LOG.atInfo().addKeyValue("links", links).addKeyValue("list", engines.index()).log("{}", clients);
         }
     }
 
--- /dev/null
+++ b/tools/src/main/java/tillerlink/emulator/Kind.java
@@ -0,0 +1,5 @@
+package tillerlink.emulator;
+
+/** A kind of engine; memory is megabytes. */
+public record Kind(String name, int cores, double memory) {
+}
--- /dev/null
+++ b/tools/src/main/java/tillerlink/emulator/Seat.java
@@ -0,0 +1,152 @@
+package tillerlink.emulator;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import tillerlink.model.Engine;
+import tillerlink.net.state.Driver;
+import tillerlink.net.state.Gateway;
+import tillerlink.net.state.Pipe;
+import tillerlink.net.wire.EngineEntry;
+import tillerlink.port.SteeringFactory;
+import tillerlink.standin.NameAnswer;
+
+/**
+ * A real gateway, its state and its module, on a driver in memory: what comes at one moment is told in one turn, in the
+ * order in which it came, as by the turn thread of a process.
+ */
+public final class Seat implements Driver {
+    private static final long NAME_DELAY = 5;
+    private static final long BYTES_MOST = 16L << 20;
+
+    final int place;
+    private final World world;
+    private final SteeringFactory modules;
+    private final java.util.Random seeds;
+    private Gateway gateway;
+    private List<Runnable> inbox = new ArrayList<>();
+    private List<Runnable> spare = new ArrayList<>();
+    private boolean turnDue;
+    private long armedFor = Long.MAX_VALUE;
+    private int life;
+
+    Seat(World world, int place, SteeringFactory modules, long seed) {
+        this.world = world;
+        this.place = place;
+        this.modules = modules;
+        seeds = new java.util.Random(seed * 1_000_003 + place);
+        start();
+    }
+
+    /** Comes up with no memory of what was before. */
+    void start() {
+        life++;
+        inbox.clear();
+        turnDue = false;
+        armedFor = Long.MAX_VALUE;
+        told(world.list());
+        gateway = new Gateway(world.fleet.assignment(place, seeds.nextLong(), world.tracks, world.news()), modules, this,
+                world.now(), BYTES_MOST);
+        post(() -> { });
+    }
+
+    /** Killed outright: what it would still have done does not happen. */
+    void kill() {
+        life++;
+        gateway = null;
+        world.auditor.gatewayKilled(place);
+    }
+
+    public boolean isUp() {
+        return gateway != null;
+    }
+
+    /** A client connects. */
+    public Pipe.Owner accept(Pipe pipe) {
+        return gateway.accepted(pipe);
+    }
+
+    /** Something has come for it; it is told in the turn of this moment. */
+    public void post(Runnable event) {
+        if (gateway == null) {
+            return;
+        }
+        inbox.add(event);
+        if (!turnDue) {
+            turnDue = true;
+            int of = life;
+            world.timeline.at(world.now(), () -> turn(of));
+        }
+    }
+
+    private void turn(int of) {
+        if (of != life || gateway == null) {
+            return;
+        }
+        turnDue = false;
+        gateway.begin(world.now());
+        List<Runnable> events = inbox;
+        inbox = spare;
+        for (Runnable event : events) {
+            event.run();
+        }
+        events.clear();
+        spare = events;
+        gateway.settle();
+        world.turns++;
+        arm();
+    }
+
+    private void arm() {
+        long due = gateway.dueAt();
+        if (due <= world.now()) {
+            post(() -> { });
+        } else if (due < armedFor || armedFor <= world.now()) {
+            armedFor = due;
+            int of = life;
+            world.timeline.at(due, () -> wake(of, due));
+        }
+    }
+
+    private void wake(int of, long due) {
+        if (of == life && gateway != null && armedFor == due) {
+            armedFor = Long.MAX_VALUE;
+            post(() -> { });
+        }
+    }
+
+    @Override
+    public Pipe dial(InetSocketAddress to, Pipe.Owner owner) {
+        return new Link(world, this, owner, world.at(to), world.delay(place, to));
+    }
+
+    @Override
+    public void ask(byte[] datagram) {
+        int id = (datagram[0] & 255) << 8 | datagram[1] & 255;
+        int of = life;
+        world.timeline.at(world.now() + NAME_DELAY, () -> {
+            byte[] answer = world.nameAnswer();
+            if (of == life && answer != null) {
+                told(world.list());
+                world.timeline.at(world.now() + NAME_DELAY, () -> {
+                    if (of == life) {
+                        post(() -> gateway.told(NameAnswer.to(id, answer)));
+                    }
+                });
+            }
+        });
+    }
+
+    private void told(List<EngineEntry> list) {
+        for (EngineEntry entry : list) {
+            if (entry.standing() != Engine.Standing.READY) {
+                world.auditor.withdrawn(world.now(), place, entry.id());
+            }
+        }
+    }
+
+    @Override
+    public void flush() {
+        // What was written is already on its way.
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/tillerlink/operator/Fault.java
@@ -0,0 +1,14 @@
+package tillerlink.operator;
+
+/** What is wrong in an operator's file, and where. */
+public record Fault(int line, int column, String what) implements Comparable<Fault> {
+    @Override
+    public int compareTo(Fault other) {
+        return line != other.line ? Integer.compare(line, other.line) : Integer.compare(column, other.column);
+    }
+
+    @Override
+    public String toString() {
+        return line + ":" + column + ": " + what;
+    }
+}
