--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# make build | tools | classes | test | lint | run; run takes CONFIG=path, by default the example's.
+# make demo | build | tools | classes | test | lint | run; run takes CONFIG=path, by default the example's.
 CONFIG ?= examples/configuration.json
 RUN = $(shell sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 BUILD = $(shell sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 
-.PHONY: build tools classes test lint run
+.PHONY: demo build tools classes test lint run
 build:
 	$(BUILD)
 
@@ -11,6 +11,9 @@
 tools:
 	mvn -q -DskipTests package
 
+demo: tools
+	bin/tillerlink demo
+
 # The classes that a gateway loads, for its archive: run it, use it, end it with Ctrl-C. To be made anew when libraries change.
 classes: build
 	EDGE_CONFIG=$(CONFIG) sh -c '$(subst -XX:SharedArchiveFile=target/tillerlink.jsa,-XX:DumpLoadedClassList=deploy/classes.lst,$(RUN))'
@@ -24,7 +27,7 @@
 	mvn -q -B clean
 	mkdir -p target
 	mvn -B -ntp -l target/lint.log test-compile
-	! grep '^.WARNING.*[.]java' target/lint.log | grep -v 'sun.misc.Signal is internal'
+	! grep '^.WARNING.*[.]java' target/lint.log | grep -v 'sun.misc.Signal[A-Za-z]* is internal'
 	! grep -rnE '.{111,}' gateway/src/main/java/tillerlink/Policy.java
 	! grep -rnE '.{121,}' */src/main --include=*.java
 	! grep -rnE '.{151,}' */src/test examples --include=*.java
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,159 @@
+# The operator's file of tillerlink, with every part that there is and what holds where it is left out.
+# It does nothing unless it is named: bin/tillerlink check deploy/operator.hcl, replay --operator deploy/operator.hcl,
+# serve --operator deploy/operator.hcl. Texts stand in quotes; nothing is worked out here.
+
+# How the log looks. form: text, or json for one object a line. level: debug, info, warn, error.
+log {
+  form  = "text"
+  level = "info"
+}
+
+# A layout of traces beside those that are built in. Columns are named in the file's order, or by its header;
+# where a column is wanted, its name or its place from 1 on will do.
+layout "batch-log" {
+  delimiter  = ";"
+  header     = true
+  time_unit  = "ms"          # us, ms or s
+  start      = "begin"
+  end        = "finish"
+  cores      = "cpu"         # left out: one core
+  cores_unit = 0.01          # cores in the file's unit
+  memory     = "mem"
+  job        = "job"
+  owner      = "team"        # left out: the job; tells the table group
+  # copies = "n"             # how often the row ran
+  # unknown_time = 1e18 is not read; write numbers out: from such a time on a row has none that is known
+  only {                     # rows for which all of these hold
+    column = "state"
+    in     = ["done"]        # or not_in, or least and most
+  }
+}
+
+# One where a task has a row for its start and one for its end.
+layout "events" {
+  columns   = ["at", "job", "task", "event", "cpu"]
+  time_unit = "us"
+  start     = "at"
+  cores     = "cpu"
+  job       = "job"
+  task      = "task"
+  pairs {
+    column = "event"
+    starts = ["START"]
+    ends   = ["FINISH"]
+    breaks = ["KILL", "EVICT"]
+  }
+}
+
+# What a replay is played on. Left out: twelve engines of two kinds in three zones.
+fleet {
+  gateways      = 3
+  sockets       = 4096       # descriptors of one gateway
+  zones         = ["east", "west"]
+  notes_every_s = 2
+  drain_grace_s = 0.5
+  hops_most     = 4
+  come_back_s   = 1          # how long a client that is turned back is told to stay away; 0 tells nothing
+  kind "std-8" {
+    cores     = 8
+    memory_mb = 16384
+  }
+  kind "big-16" {
+    cores     = 16
+    memory_mb = 32768
+  }
+  engines "a" {              # a1, a2, ...
+    kind  = "std-8"
+    zone  = "east"
+    count = 5
+  }
+  engines "b" {
+    kind  = "std-8"
+    zone  = "west"
+    count = 4
+  }
+  engines "c" {
+    kind  = "big-16"
+    zone  = "west"
+    count = 3
+  }
+  cold {                     # an engine just started; sent more than fall_multiple times what it can do, it falls over
+    start_capacity = 0.3
+    warm_within_s  = 13
+    fall_multiple  = 2.5
+    fall_s         = 3
+  }
+  budget {                   # further hops of a gateway in any such span
+    floor  = 3
+    ratio  = 0.1
+    span_s = 10
+  }
+}
+
+# Tracks, and which rows become their submissions: the first whose tests all hold takes a row. effect: pure,
+# receipted or effectful. The work of each is scaled so that its median is as stated.
+track "load" {
+  effect         = "receipted"
+  threads        = 2
+  soft_limit_ms  = 3000
+  hard_stop_ms   = 20000
+  payoff         = 6
+  late_payoff    = 3.6
+  mark_kept_ms   = 20000     # how long engines know its mark
+  median_work_ms = 500
+  rows {
+    column = "team"
+    in     = ["etl", "import"]
+  }
+}
+
+track "sheet" {
+  effect         = "pure"
+  threads        = 4
+  soft_limit_ms  = 2000
+  hard_stop_ms   = 25000
+  payoff         = 5
+  late_payoff    = 1.5
+  kinds          = ["std-8"] # bound to these on every hop
+  median_work_ms = 600
+  rows {
+    column = "cpu"
+    least  = 200
+  }
+}
+
+track "look" {
+  effect         = "pure"
+  soft_limit_ms  = 800
+  hard_stop_ms   = 4000
+  payoff         = 1
+  late_payoff    = 0.1
+  median_work_ms = 80
+}
+
+# What goes wrong, or is done, in a replay. what: slow, silent, gone, drained, replaced (engines), killed (gateways,
+# n0, n1, ...). lasts_s: how long, where it passes; how long a drained engine goes on, a killed gateway stays away.
+trouble {
+  at_s    = 20
+  what    = "slow"
+  whom    = "a2"
+  lasts_s = 10
+  factor  = 4
+}
+
+trouble {
+  at_s    = 40
+  what    = "replaced"
+  whom    = "b1"
+  lasts_s = 3
+}
+
+# What a replay is unless its options say otherwise.
+replay {
+  load           = 0.6       # share of the fleet's cores
+  scale          = "time"    # or jobs, or both
+  window_s       = 3600      # of trace time, in which rows may stand out of order
+  estimate_error = 0.4       # sigma by which estimates miss
+  bad_most       = 0.1       # share of bad rows above which it ends with exit code 1
+  seed           = 1
+}
--- a/tools/src/main/java/tillerlink/audit/Auditor.java
+++ b/tools/src/main/java/tillerlink/audit/Auditor.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import tillerlink.emulator.Fleet;
+import tillerlink.fleet.Fleet;
 import tillerlink.model.Effect;
 import tillerlink.workload.Track;
 
--- /dev/null
+++ b/tools/src/main/java/tillerlink/cli/DemoCommand.java
@@ -0,0 +1,61 @@
+package tillerlink.cli;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import tillerlink.Policy;
+import tillerlink.fleet.Fleet;
+import tillerlink.replay.Arrivals;
+import tillerlink.replay.Job;
+import tillerlink.replay.Played;
+import tillerlink.rig.Rig;
+import tillerlink.trace.Layout;
+import tillerlink.trace.Shard;
+import tillerlink.trace.TraceMaker;
+import tillerlink.workload.BuiltIn;
+import tillerlink.workload.Plan;
+
+/** Shows the gateway at work on this machine alone. */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+        description = {"Start two gateways, stand-in engines and a name service on loopback, replay a small made-up",
+            "trace over sockets for some ten seconds, and print the figure by track."})
+final class DemoCommand implements Callable<Integer> {
+    private static final Layout LAYOUT = Layout.ALIBABA_2018;
+    private static final double LOAD = 0.5;
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--rows", defaultValue = "2000", description = "rows of the trace (default ${DEFAULT-VALUE})")
+    private long rows;
+
+    @Override
+    public Integer call() throws IOException {
+        Path trace = Files.createTempFile("tillerlink-demo-", ".csv");
+        try {
+            try (OutputStream file = Files.newOutputStream(trace);
+                    TraceMaker maker = new TraceMaker(LAYOUT, 1, 0.01, (long) (2 * Words.SECOND), file)) {
+                maker.make(rows);
+            }
+            Job job = new Job(List.of(Shard.of(trace)), LAYOUT, BuiltIn.tracks(LAYOUT), Fleet.builtIn(2), List.of(),
+                    (long) (60 * Words.SECOND), null, 0, LOAD, Plan.Scale.TIME, 0.4, 0.1, 1, "module", Policy::new);
+            try (Arrivals arrivals = new Arrivals(job)) {
+                spec.commandLine().getErr().println("two gateways are starting; the replay takes some ten seconds");
+                spec.commandLine().getErr().flush();
+                Played played = Rig.play(job, arrivals, arrived -> spec.commandLine().getErr()
+                        .printf(Locale.ROOT, "%d submissions%n", arrived));
+                Summary.print(played, spec.commandLine().getOut());
+                return played.sound() ? 0 : 1;
+            }
+        } finally {
+            Files.deleteIfExists(trace);
+        }
+    }
+}
--- a/tools/src/main/java/tillerlink/cli/ReplayCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ReplayCommand.java
@@ -1,11 +1,9 @@
 package tillerlink.cli;
 
 import java.io.IOException;
-import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,17 +12,18 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tillerlink.Policy;
-import tillerlink.audit.Breach;
-import tillerlink.audit.Rule;
 import tillerlink.baseline.Baseline;
-import tillerlink.emulator.Fleet;
+import tillerlink.fleet.Fleet;
+import tillerlink.operator.OperatorFile;
+import tillerlink.operator.OperatorFile.Replaying;
 import tillerlink.port.SteeringFactory;
 import tillerlink.replay.Arrivals;
-import tillerlink.replay.End;
-import tillerlink.replay.Figures;
 import tillerlink.replay.Job;
+import tillerlink.replay.Page;
+import tillerlink.replay.Played;
 import tillerlink.replay.Report;
 import tillerlink.replay.Run;
+import tillerlink.rig.Rig;
 import tillerlink.trace.Layout;
 import tillerlink.workload.BuiltIn;
 import tillerlink.workload.Plan;
@@ -49,35 +48,39 @@
     private String layout;
     @Option(names = "--report", paramLabel = "OUT.json", description = "where the report goes")
     private Path report;
-    @Option(names = "--load", defaultValue = "0.6",
-            description = "the share of the fleet's cores that the work takes (default ${DEFAULT-VALUE})")
-    private double load;
-    @Option(names = "--scale", defaultValue = "TIME",
-            description = "what gives way for that: ${COMPLETION-CANDIDATES} (default ${DEFAULT-VALUE})")
+    @Option(names = "--operator", paramLabel = "FILE",
+            description = "the operator's file: layouts, fleet, tracks, troubles, and what is not said here")
+    private Path operator;
+    @Option(names = "--html", paramLabel = "OUT.html", description = "where a page with plots goes")
+    private Path html;
+    @Option(names = "--load", description = "the share of the fleet's cores that the work takes (default 0.6)")
+    private Double load;
+    @Option(names = "--scale", description = "what gives way for that: ${COMPLETION-CANDIDATES} (default TIME)")
     private Plan.Scale scale;
-    @Option(names = "--gateways", defaultValue = "3", description = "how many (default ${DEFAULT-VALUE})")
-    private int gateways;
-    @Option(names = "--engines", defaultValue = "12", description = "how many (default ${DEFAULT-VALUE})")
-    private int engines;
-    @Option(names = "--window", defaultValue = "3600",
-            description = "seconds of trace time in which rows may stand out of order (default ${DEFAULT-VALUE})")
-    private double window;
+    @Option(names = "--gateways", description = "how many (default 3, or as in the operator's fleet)")
+    private Integer gateways;
+    @Option(names = "--engines", description = "how many of the built-in fleet (default 12)")
+    private Integer engines;
+    @Option(names = "--window",
+            description = "seconds of trace time in which rows may stand out of order (default 3600)")
+    private Double window;
     @Option(names = "--sort", paramLabel = "FOLDER", description = "sort outside memory first, in this folder")
     private Path sortIn;
     @Option(names = "--sort-most", defaultValue = "4096", paramLabel = "MB",
             description = "how much that may take there (default ${DEFAULT-VALUE})")
     private long sortMost;
-    @Option(names = "--estimate-error", defaultValue = "0.4",
-            description = "sigma by which estimates miss (default ${DEFAULT-VALUE})")
-    private double error;
-    @Option(names = "--bad-most", defaultValue = "0.1",
-            description = "share of bad rows above which it ends with 1 (default ${DEFAULT-VALUE})")
-    private double badMost;
-    @Option(names = "--seed", defaultValue = "1", description = "what is drawn (default ${DEFAULT-VALUE})")
-    private long seed;
+    @Option(names = "--estimate-error", description = "sigma by which estimates miss (default 0.4)")
+    private Double error;
+    @Option(names = "--bad-most", description = "share of bad rows above which it ends with 1 (default 0.1)")
+    private Double badMost;
+    @Option(names = "--seed", description = "what is drawn (default 1)")
+    private Long seed;
     @Option(names = "--policy", defaultValue = "MODULE",
             description = "what decides: ${COMPLETION-CANDIDATES} (default ${DEFAULT-VALUE})")
     private Choice choice;
+    @Option(names = "--sockets",
+            description = "in real time, over loopback sockets, through gateway processes, against stand-in engines")
+    private boolean sockets;
     @Option(names = "--quiet", description = "no progress")
     private boolean quiet;
 
@@ -85,22 +88,18 @@
 
     @Override
     public Integer call() throws IOException {
-        check(load > 0 && load <= 10, "--load is above 0 and at most 10");
-        check(gateways >= 1 && gateways <= 1000, "--gateways is 1 to 1000");
-        check(engines >= 1 && engines <= 5000, "--engines is 1 to 5000");
-        check(window >= 0 && error >= 0 && badMost >= 0, "nothing is below 0");
-        Layout chosen = Words.layout(layout, List.of());
-        Job job = new Job(Words.shards(files), chosen, BuiltIn.tracks(chosen), Fleet.of(gateways, engines), List.of(),
-                (long) (window * Words.SECOND), sortIn, sortMost << 20, load, scale, error, badMost, seed,
-                choice.name().toLowerCase(Locale.ROOT), modules());
+        Logs.hushGateways();
+        Job job = job(operator == null ? null : OperatorFile.read(operator));
         try (Arrivals arrivals = new Arrivals(job)) {
             long began = System.nanoTime();
-            Run run = new Run(job, arrivals);
-            run.play(this::progress);
+            Played run = sockets ? Rig.play(job, arrivals, this::progress) : Run.play(job, arrivals, this::progress);
             if (report != null) {
                 Report.write(run, report);
             }
-            print(run);
+            if (html != null) {
+                Page.write(run, html);
+            }
+            Summary.print(run, spec.commandLine().getOut());
             if (!quiet) {
                 spec.commandLine().getErr().printf(Locale.ROOT, "%.1f s of replay took %.1f s%n",
                         run.lasted() / Words.SECOND, (System.nanoTime() - began) / 1e9);
@@ -109,6 +108,29 @@
         }
     }
 
+    /** Options come before the operator's file, and that before what is built in. */
+    private Job job(OperatorFile file) throws IOException {
+        Replaying plain = file != null && file.replay() != null ? file.replay()
+                : new Replaying(0.6, Plan.Scale.TIME, (long) (3600 * Words.SECOND), 0.4, 0.1, 1);
+        double loadWanted = load == null ? plain.load() : load;
+        long ordering = window == null ? plain.window() : (long) (window * Words.SECOND);
+        check(loadWanted > 0 && loadWanted <= 10, "--load is above 0 and at most 10");
+        check(gateways == null || gateways >= 1 && gateways <= 1000, "--gateways is 1 to 1000");
+        check(engines == null || engines >= 1 && engines <= 5000, "--engines is 1 to 5000");
+        check(ordering >= 0 && (error == null || error >= 0) && (badMost == null || badMost >= 0),
+                "nothing is below 0");
+        check(!sockets || choice == Choice.MODULE, "--sockets plays the module only");
+        Layout chosen = Words.layout(layout, file == null ? List.of() : file.layouts());
+        boolean own = file != null && file.fleet() != null && engines == null;
+        Fleet fleet = own ? file.fleet() : Fleet.of(3, engines == null ? 12 : engines);
+        return new Job(Words.shards(files), chosen,
+                file != null && !file.tracks().isEmpty() ? file.tracks() : BuiltIn.tracks(chosen),
+                gateways == null ? fleet : fleet.behind(gateways), file == null ? List.of() : file.troubles(), ordering,
+                sortIn, sortMost << 20, loadWanted, scale == null ? plain.scale() : scale,
+                error == null ? plain.error() : error, badMost == null ? plain.badMost() : badMost,
+                seed == null ? plain.seed() : seed, choice.name().toLowerCase(Locale.ROOT), modules());
+    }
+
     private SteeringFactory modules() {
         return switch (choice) {
             case MODULE -> Policy::new;
@@ -131,30 +153,4 @@
             spec.commandLine().getErr().flush();
         }
     }
-
-    private void print(Run run) {
-        PrintWriter out = spec.commandLine().getOut();
-        Figures figures = run.figures();
-        out.printf(Locale.ROOT, "served %.4f whole, %.4f worst 10 s, %.4f worst track; %s, emulated engines%n",
-                figures.whole(), figures.worstWindow(), figures.worstTrack(), run.job().policyName());
-        out.printf(Locale.ROOT, "%-8s %9s %8s %7s %8s %8s %7s %9s %9s%n", "track", "arrived", "in time", "late",
-                "turned", "broken", "gone", "half ms", "99% ms");
-        for (Figures.OfTrack of : figures.tracks()) {
-            out.printf(Locale.ROOT, "%-8s %9d %8.4f %7d %8d %8d %7d %9.1f %9.1f%n", of.track().name(), of.arrived(),
-                    of.served(), of.ended(End.LATE), of.ended(End.TURNED_BACK), of.ended(End.BROKEN_OFF),
-                    of.ended(End.CLIENT_GONE) + of.ended(End.KILLED), of.timeMs(50), of.timeMs(99));
-        }
-        out.printf(Locale.ROOT, "rows %d read, %d used, %d bad; hops %d, %d further%n",
-                run.arrivals().tally().rowsRead(), run.arrivals().tally().rowsUsed(), run.arrivals().tally().bad(),
-                run.auditor().hops(), run.auditor().furtherHops());
-        run.world().happened().forEach(out::println);
-        for (Map.Entry<Rule, Long> broken : run.auditor().counts().entrySet()) {
-            out.printf("rule broken: %s, %d times%n", broken.getKey().name().toLowerCase(Locale.ROOT),
-                    broken.getValue());
-        }
-        for (Breach breach : run.auditor().breaches().subList(0, Math.min(5, run.auditor().breaches().size()))) {
-            out.println("  " + breach.what());
-        }
-        out.flush();
-    }
 }
--- a/tools/src/main/java/tillerlink/cli/Tillerlink.java
+++ b/tools/src/main/java/tillerlink/cli/Tillerlink.java
@@ -14,18 +14,18 @@
         description = "A query gateway that decides what runs, where, and with how much memory.",
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:fine", "1:a fault, told in one line",
             "2:wrong usage"},
-        subcommands = {ServeCommand.class, WireHostCommand.class, TraceCommand.class,
-            ReplayCommand.class})
+        subcommands = {ServeCommand.class, WireHostCommand.class, CheckCommand.class,
+            TraceCommand.class, ReplayCommand.class, DemoCommand.class})
 public final class Tillerlink implements Runnable {
     @Spec
     private CommandSpec spec;
 
     public static void main(String[] args) {
-        System.exit(run(args));
+        System.exit(execute(args));
     }
 
     /** Runs one command; its exit code. */
-    public static int run(String... args) {
+    public static int execute(String... args) {
         CommandLine line = new CommandLine(new Tillerlink());
         line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setParameterExceptionHandler(Tillerlink::usage);
--- a/tools/src/main/java/tillerlink/emulator/EmulatedEngine.java
+++ b/tools/src/main/java/tillerlink/emulator/EmulatedEngine.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import tillerlink.fleet.Fleet;
+import tillerlink.fleet.Kind;
+import tillerlink.fleet.Spec;
 import tillerlink.net.state.Break;
-import tillerlink.standin.EngineCommands;
 import tillerlink.standin.EngineCommands.Command;
+import tillerlink.standin.EngineCommands;
 import tillerlink.standin.EngineWords;
 import tillerlink.standin.Results;
 
@@ -16,7 +19,7 @@
  * One engine process: it runs what it is sent on shared cores, tells now and then how far it is, keeps pages, refuses
  * while it drains or is full, and says nothing that an engine of the platform would not say.
  */
-final class EmulatedEngine {
+public final class EmulatedEngine {
     private static final int SESSIONS_PER_CORE = 16;
     private static final long WARM_STEP = 1000;
     private static final long PAGES_KEPT = 10 * Fleet.SECOND;
@@ -24,27 +27,27 @@
 
     /** A request in hand. */
     private static final class Query {
-        private final Link link;
+        private final Peer link;
         private final String id;
         private final Cores.Load load;
         private boolean over;
 
-        Query(Link link, String id, double work, int threads, double memory) {
+        Query(Peer link, String id, double work, int threads, double memory) {
             this.link = link;
             this.id = id;
             load = new Cores.Load(this, threads, memory, work);
         }
     }
 
-    final Spec spec;
-    final int place;
+    public final Spec spec;
+    public final int place;
     final long startedAt;
     private final World world;
     private final Cores cores;
     private final int sessionsMost;
     /** In hand by connection and id. */
-    private final Map<Link, Map<String, Query>> open = new LinkedHashMap<>();
-    private final Set<Link> links = new LinkedHashSet<>();
+    private final Map<Peer, Map<String, Query>> open = new LinkedHashMap<>();
+    private final Set<Peer> links = new LinkedHashSet<>();
     /** Results whose pages may still be asked for, and until when. */
     private final LinkedHashMap<String, Long> results = new LinkedHashMap<>();
     private long checkAt = Long.MAX_VALUE;
@@ -81,19 +84,19 @@
 
     // ---- connections ----
 
-    boolean takesConnections() {
+    public boolean takesConnections() {
         return !silent && !ended;
     }
 
-    boolean isSilent() {
+    public boolean isSilent() {
         return silent && !ended;
     }
 
-    void connected(Link link) {
+    public void connected(Peer link) {
         links.add(link);
     }
 
-    void disconnected(Link link) {
+    public void disconnected(Peer link) {
         links.remove(link);
         Map<String, Query> gone = open.remove(link);
         if (gone != null) {
@@ -109,7 +112,7 @@
     }
 
     /** What a gateway said has come. */
-    void heard(Link link, Command command) {
+    public void heard(Peer link, Command command) {
         if (silent || ended) {
             return;
         }
@@ -132,7 +135,7 @@
         }
     }
 
-    private Query query(Link link, String id) {
+    private Query query(Peer link, String id) {
         Map<String, Query> there = open.get(link);
         return there == null ? null : there.get(id);
     }
@@ -144,7 +147,7 @@
         }
     }
 
-    private void want(Link link, Command command) {
+    private void want(Peer link, Command command) {
         World.Job job = world.job(command.id());
         if (draining || cores.running() >= sessionsMost) {
             link.say(EngineWords.refused(command.id()));
@@ -259,12 +262,12 @@
         ended = true;
         cores.clear();
         open.clear();
-        List<Link> all = new ArrayList<>(links);
+        List<Peer> all = new ArrayList<>(links);
         links.clear();
         all.forEach(link -> link.cut(Break.RESET));
     }
 
-    boolean isEnded() {
+    public boolean isEnded() {
         return ended;
     }
 
--- a/tools/src/main/java/tillerlink/emulator/Link.java
+++ b/tools/src/main/java/tillerlink/emulator/Link.java
@@ -1,23 +1,22 @@
 package tillerlink.emulator;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
 import tillerlink.net.state.Break;
 import tillerlink.net.state.Pipe;
 import tillerlink.standin.EngineCommands;
 import tillerlink.standin.EngineCommands.Command;
 
 /** A connection from a gateway to an engine: bytes take a while, in order; a machine that is silent swallows them. */
-final class Link implements Pipe {
+final class Link implements Pipe, Peer {
     private final World world;
     private final Seat seat;
+    private final int life;
     private final Owner owner;
     private final EmulatedEngine engine;
     private final long delay;
+    private final HopWatch hops;
     private final EngineCommands reader = new EngineCommands();
-    /** What goes out at the gateway, as the auditor sees it: the same reader at the other end. */
+    /** What goes out at the gateway: the same reader as at the other end. */
     private final EngineCommands outgoing = new EngineCommands();
-    private final Set<String> hops = new LinkedHashSet<>();
     private boolean up;
     private boolean over;
 
@@ -27,6 +26,8 @@
         this.owner = owner;
         this.engine = engine;
         this.delay = delay;
+        life = seat.life();
+        hops = new HopWatch(world.auditor, seat.place, engine == null ? "?" : engine.spec.name());
         world.timeline.at(world.now() + 2 * delay, this::comeUp);
     }
 
@@ -39,7 +40,7 @@
         } else if (engine.takesConnections()) {
             up = true;
             engine.connected(this);
-            seat.post(owner::opened);
+            seat.post(life, owner::opened);
         }
     }
 
@@ -47,29 +48,12 @@
     public void write(byte[] bytes) {
         outgoing.feed(bytes);
         for (Command command = outgoing.next(); command != null; command = outgoing.next()) {
-            goesOut(command);
+            hops.goesOut(world.now(), command);
         }
-        seat.post(owner::written);
+        seat.post(life, owner::written);
         world.timeline.at(world.now() + delay, () -> arrive(bytes));
     }
 
-    private void goesOut(Command command) {
-        switch (command.word()) {
-            case WANT -> {
-                hops.add(command.id());
-                world.auditor.sent(world.now(), seat.place, engine.spec.name(), command.id());
-            }
-            case NEVER_MIND -> hopOver(command.id(), false);
-            default -> { }
-        }
-    }
-
-    private void hopOver(String id, boolean provesIdle) {
-        if (hops.remove(id)) {
-            world.auditor.over(id, provesIdle);
-        }
-    }
-
     private void arrive(byte[] bytes) {
         if (over || engine.isSilent()) {
             return;
@@ -80,12 +64,13 @@
         }
     }
 
-    /** The engine says something; it reaches the gateway a while later. */
-    void say(byte[] bytes) {
+    /** It reaches the gateway a while later. */
+    @Override
+    public void say(byte[] bytes) {
         world.timeline.at(world.now() + delay, () -> {
             if (!over) {
-                note(bytes);
-                seat.post(() -> {
+                hops.comesBack(bytes);
+                seat.post(life, () -> {
                     if (!over) {
                         owner.fed(bytes);
                     }
@@ -94,27 +79,14 @@
         });
     }
 
-    /** What ends a hop, as the gateway is about to learn it. */
-    private void note(byte[] bytes) {
-        int space = 0;
-        while (bytes[space] != ' ') {
-            space++;
-        }
-        String id = new String(bytes, 0, space, java.nio.charset.StandardCharsets.ISO_8859_1);
-        switch (bytes[space + 1]) {
-            case 'r' -> hopOver(id, true);
-            case 'o', 'e' -> hopOver(id, false);
-            default -> { }
-        }
-    }
-
-    /** It breaks; the gateway hears of it a while later. */
-    void cut(Break how) {
+    /** The gateway hears of it a while later. */
+    @Override
+    public void cut(Break how) {
         if (!over) {
             world.timeline.at(world.now() + delay, () -> {
                 if (!over) {
                     end(how == Break.REFUSED);
-                    seat.post(() -> owner.ended(how));
+                    seat.post(life, () -> owner.ended(how));
                 }
             });
         }
@@ -122,9 +94,8 @@
 
     private void end(boolean provesIdle) {
         over = true;
-        for (String id : Set.copyOf(hops)) {
-            hopOver(id, provesIdle);
-        }
+        seat.forget(this);
+        hops.ended(provesIdle);
         if (up) {
             engine.disconnected(this);
         }
--- a/tools/src/main/java/tillerlink/emulator/Seat.java
+++ b/tools/src/main/java/tillerlink/emulator/Seat.java
@@ -2,7 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import tillerlink.model.Engine;
 import tillerlink.net.state.Driver;
 import tillerlink.net.state.Gateway;
@@ -22,19 +25,20 @@
     final int place;
     private final World world;
     private final SteeringFactory modules;
-    private final java.util.Random seeds;
+    private final Random seeds;
     private Gateway gateway;
     private List<Runnable> inbox = new ArrayList<>();
     private List<Runnable> spare = new ArrayList<>();
     private boolean turnDue;
     private long armedFor = Long.MAX_VALUE;
     private int life;
+    private final Set<Link> links = new LinkedHashSet<>();
 
     Seat(World world, int place, SteeringFactory modules, long seed) {
         this.world = world;
         this.place = place;
         this.modules = modules;
-        seeds = new java.util.Random(seed * 1_000_003 + place);
+        seeds = new Random(seed * 1_000_003 + place);
         start();
     }
 
@@ -54,7 +58,7 @@
     void kill() {
         life++;
         gateway = null;
-        world.auditor.gatewayKilled(place);
+        List.copyOf(links).forEach(Link::drop);
     }
 
     public boolean isUp() {
@@ -66,8 +70,24 @@
         return gateway.accepted(pipe);
     }
 
+    /** Counts its starts and ends: what was meant for one that was killed does not reach the next. */
+    public int life() {
+        return life;
+    }
+
+    void forget(Link link) {
+        links.remove(link);
+    }
+
+    /** Something has come for it in that life. */
+    public void post(int of, Runnable event) {
+        if (of == life) {
+            post(event);
+        }
+    }
+
     /** Something has come for it; it is told in the turn of this moment. */
-    public void post(Runnable event) {
+    private void post(Runnable event) {
         if (gateway == null) {
             return;
         }
@@ -117,7 +137,9 @@
 
     @Override
     public Pipe dial(InetSocketAddress to, Pipe.Owner owner) {
-        return new Link(world, this, owner, world.at(to), world.delay(place, to));
+        Link link = new Link(world, this, owner, world.at(to), world.delay(place, to));
+        links.add(link);
+        return link;
     }
 
     @Override
--- a/tools/src/main/java/tillerlink/emulator/Timeline.java
+++ b/tools/src/main/java/tillerlink/emulator/Timeline.java
@@ -71,6 +71,14 @@
         return true;
     }
 
+    /** Lets happen what is due by a moment of another clock, and goes on to it. */
+    public void follow(long clock) {
+        while (size > 0 && times[0] <= clock) {
+            step();
+        }
+        now = Math.max(now, clock);
+    }
+
     private void sink(long time, long order, Runnable event) {
         int place = 0;
         while (true) {
--- a/tools/src/main/java/tillerlink/emulator/World.java
+++ b/tools/src/main/java/tillerlink/emulator/World.java
@@ -5,8 +5,14 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import tillerlink.audit.Auditor;
+import tillerlink.fleet.Fleet;
+import tillerlink.fleet.Spec;
+import tillerlink.fleet.Trouble;
 import tillerlink.model.Engine;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.net.wire.EngineNews;
@@ -37,13 +43,17 @@
     private final Map<String, EmulatedEngine> byName = new LinkedHashMap<>();
     private final Map<String, EngineEntry> listed = new LinkedHashMap<>();
     private final List<String> happened = new ArrayList<>();
-    private final long start;
+    private final List<IntConsumer> killListeners = new ArrayList<>();
+    private final List<IntConsumer> startListeners = new ArrayList<>();
+    private final List<Consumer<EmulatedEngine>> engineListeners = new ArrayList<>();
+    private long start;
     private byte[] nameAnswer;
     private long serial = 1;
     private int places;
     long turns;
 
-    public World(Fleet fleet, List<Track> tracks, Auditor auditor, SteeringFactory modules, long seed, long start) {
+    /** Engines and their list; who the gateways are is seen to by others. */
+    public World(Fleet fleet, List<Track> tracks, Auditor auditor, long start) {
         this.fleet = fleet;
         this.tracks = tracks;
         this.auditor = auditor;
@@ -53,9 +63,21 @@
         for (Spec spec : fleet.engines()) {
             up(spec, 0);
         }
+    }
+
+    /** Gateways on a driver in memory. */
+    public World seat(SteeringFactory modules, long seed) {
         for (int i = 0; i < fleet.gateways(); i++) {
             seats.add(new Seat(this, i, modules, seed));
         }
+        onKill(place -> seats.get(place).kill());
+        onStart(place -> seats.get(place).start());
+        return this;
+    }
+
+    /** Troubles are reckoned from then on. */
+    public void startAt(long at) {
+        start = at;
     }
 
     public long now() {
@@ -73,6 +95,7 @@
         byName.put(spec.name(), engine);
         listed.put(spec.name(), fleet.entry(spec, address, Engine.Standing.READY, startedAt / MS));
         auditor.engineUp(spec.name(), spec.kind(), startedAt);
+        engineListeners.forEach(listener -> listener.accept(engine));
         changed();
         return engine;
     }
@@ -98,6 +121,12 @@
 
     // ---- the network ----
 
+    /** Told of each engine that comes up from now on, and of those that are there. */
+    public void onEngine(Consumer<EmulatedEngine> listener) {
+        byName.values().forEach(listener);
+        engineListeners.add(listener);
+    }
+
     EmulatedEngine at(InetSocketAddress address) {
         return byAddress.get(address);
     }
@@ -110,11 +139,11 @@
 
     // ---- the list ----
 
-    List<EngineEntry> list() {
+    public List<EngineEntry> list() {
         return List.copyOf(listed.values());
     }
 
-    EngineNews news() {
+    public EngineNews news() {
         return new EngineNews(serial, true, list());
     }
 
@@ -202,8 +231,8 @@
         String name = engine.spec.name();
         list(name, Engine.Standing.GONE);
         listed.remove(name);
-        for (Seat seat : seats) {
-            auditor.withdrawn(now() + LIST_DELAY, seat.place, name);
+        for (int gateway = 0; gateway < fleet.gateways(); gateway++) {
+            auditor.withdrawn(now() + LIST_DELAY, gateway, name);
         }
         timeline.at(now() + 10 * LIST_DELAY, () -> {
             byName.remove(name);
@@ -220,29 +249,30 @@
 
     private void killed(Trouble trouble) {
         int place = trouble.whom().matches("n[0-9]{1,6}") ? Integer.parseInt(trouble.whom().substring(1)) : -1;
-        if (place < 0 || place >= seats.size() || !seats.get(place).isUp()) {
+        if (place < 0 || place >= fleet.gateways()) {
             happened(trouble.whom() + " is not there");
             return;
         }
-        Seat seat = seats.get(place);
-        killListeners.forEach(listener -> listener.accept(seat));
-        seat.kill();
+        killListeners.forEach(listener -> listener.accept(place));
+        auditor.gatewayKilled(place);
         happened(trouble.whom() + " is killed");
         timeline.at(now() + trouble.lasts(), () -> {
-            seat.start();
+            startListeners.forEach(listener -> listener.accept(place));
             happened(trouble.whom() + " starts anew");
         });
     }
 
-    private final List<java.util.function.Consumer<Seat>> killListeners = new ArrayList<>();
-
-    /** Told just before a gateway is killed. */
-    public void onKill(java.util.function.Consumer<Seat> listener) {
+    /** Told just before a gateway is killed, by its place, and when it starts anew. */
+    public void onKill(IntConsumer listener) {
         killListeners.add(listener);
     }
 
+    public void onStart(IntConsumer listener) {
+        startListeners.add(listener);
+    }
+
     private void happened(String what) {
-        happened.add(String.format(java.util.Locale.ROOT, "%8.1f s  %s", (now() - start) / (double) Fleet.SECOND, what));
+        happened.add(String.format(Locale.ROOT, "%8.1f s  %s", (now() - start) / (double) Fleet.SECOND, what));
     }
 
     /** What went wrong and when, a line each. */
--- a/tools/src/main/java/tillerlink/emulator/Fleet.java
+++ b/tools/src/main/java/tillerlink/fleet/Fleet.java
@@ -1,4 +1,4 @@
-package tillerlink.emulator;
+package tillerlink.fleet;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -32,7 +32,7 @@
     private static final int PORT = 5050;
     private static final int SEATS = 4096;
     private static final InetSocketAddress NOWHERE = new InetSocketAddress("127.0.0.1", 1);
-    static final long SECOND = 10_000;
+    public static final long SECOND = 10_000;
 
     /** Twelve engines of two kinds in three zones, 128 cores, behind three gateways. */
     public static Fleet builtIn(int gateways) {
@@ -50,6 +50,12 @@
                 3, 0.1, 10 * SECOND, 4, SECOND);
     }
 
+    /** The same fleet behind so many gateways. */
+    public Fleet behind(int count) {
+        return new Fleet(count, sockets, kinds, zones, engines, notesEvery, startCapacity, warmWithin, fallMultiple,
+                fall, drainGrace, extraFloor, furtherRatio, budgetSpan, attemptsMost, comeBack);
+    }
+
     public double cores() {
         return engines.stream().mapToInt(engine -> kinds.get(engine.kind()).cores()).sum();
     }
@@ -60,14 +66,14 @@
                 PORT + place / HOSTS / HOSTS);
     }
 
-    EngineEntry entry(Spec engine, InetSocketAddress at, Engine.Standing standing, long startedMs) {
+    public EngineEntry entry(Spec engine, InetSocketAddress at, Engine.Standing standing, long startedMs) {
         Kind kind = kinds.get(engine.kind());
         return new EngineEntry(engine.name(), at.getAddress().getHostAddress(), at.getPort(),
                 zones.get(engine.zone()), kind.name(), 0, standing, kind.cores() / 8.0, startedMs);
     }
 
     /** What a gateway is told at its start. */
-    Assignment assignment(int gateway, long seed, List<Track> tracks, EngineNews known) {
+    public Assignment assignment(int gateway, long seed, List<Track> tracks, EngineNews known) {
         return new Assignment("n" + gateway, NOWHERE, NOWHERE, seed, sockets, settings(tracks, gateway),
                 List.of(known));
     }
--- a/tools/src/main/java/tillerlink/emulator/Kind.java
+++ b/tools/src/main/java/tillerlink/fleet/Kind.java
@@ -1,4 +1,4 @@
-package tillerlink.emulator;
+package tillerlink.fleet;
 
 /** A kind of engine; memory is megabytes. */
 public record Kind(String name, int cores, double memory) {
--- a/tools/src/main/java/tillerlink/emulator/Trouble.java
+++ b/tools/src/main/java/tillerlink/fleet/Trouble.java
@@ -1,4 +1,4 @@
-package tillerlink.emulator;
+package tillerlink.fleet;
 
 /**
  * Something that goes wrong, or is done, at a set time of a replay. Times are tenths of a millisecond.
--- a/tools/src/main/java/tillerlink/operator/Balance.java
+++ b/tools/src/main/java/tillerlink/operator/Balance.java
@@ -1,6 +1,8 @@
 package tillerlink.operator;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Finds the first quote, comment, bracket or brace that is not closed, or closes nothing. */
 final class Balance {
@@ -9,19 +11,21 @@
 
     private final String text;
     private final ArrayDeque<Open> open = new ArrayDeque<>();
+    private final List<Fault> assigned = new ArrayList<>();
     private int line = 1;
     private int column = 1;
 
-    private Balance(String text) {
+    Balance(String text) {
         this.text = text;
     }
 
-    /** The fault, or null if there is none. */
-    static Fault check(String text) {
-        return new Balance(text).find();
+    /** Every sign that gives a name a value, as the fault that it is if nothing was read there. */
+    List<Fault> assigned() {
+        return assigned;
     }
 
-    private Fault find() {
+    /** The fault, or null if there is none. */
+    Fault find() {
         for (int i = 0; i < text.length(); i = next(i)) {
             char c = text.charAt(i);
             if (c == '"') {
@@ -47,6 +51,8 @@
                 while (i < end + 1) {
                     i = next(i);
                 }
+            } else if (c == '=' || c == ':') {
+                assigned.add(new Fault(line, column, "'" + c + "' gives no name a value here"));
             } else if (c == '{' || c == '[') {
                 open.push(new Open(c, line, column));
             } else if (c == '}' || c == ']') {
--- a/tools/src/main/java/tillerlink/operator/Fault.java
+++ b/tools/src/main/java/tillerlink/operator/Fault.java
@@ -4,7 +4,8 @@
 public record Fault(int line, int column, String what) implements Comparable<Fault> {
     @Override
     public int compareTo(Fault other) {
-        return line != other.line ? Integer.compare(line, other.line) : Integer.compare(column, other.column);
+        return line != other.line ? Integer.compare(line, other.line)
+                : column != other.column ? Integer.compare(column, other.column) : what.compareTo(other.what);
     }
 
     @Override
--- a/tools/src/main/java/tillerlink/operator/HclReader.java
+++ b/tools/src/main/java/tillerlink/operator/HclReader.java
@@ -44,15 +44,18 @@
     /** What can't be read as HCL at all is one fault, with the place where the braces or quotes go wrong. */
     static Section of(String text, List<Fault> faults) throws IOException {
         Section all = new Section("", List.of(), 1, 1, faults);
-        Fault unbalanced = Balance.check(text);
+        Balance balance = new Balance(text);
+        Fault unbalanced = balance.find();
         if (unbalanced != null) {
             faults.add(unbalanced);
             return all;
         }
         try {
-            for (Symbol symbol : Symbols.read(new StringReader(text))) {
+            List<Symbol> symbols = Symbols.read(new StringReader(text));
+            for (Symbol symbol : symbols) {
                 put(all, symbol, faults, 0);
             }
+            checkAllRead(symbols, balance.assigned(), faults);
         } catch (HCLParserException | RuntimeException | Error e) {
             if (e instanceof VirtualMachineError) {
                 throw (VirtualMachineError) e;
@@ -63,6 +66,24 @@
         return all;
     }
 
+    /** Guards against what the library passes over without a word: as many names must have been read as have values. */
+    private static void checkAllRead(List<Symbol> symbols, List<Fault> assigned, List<Fault> faults) {
+        List<Integer> lines = new ArrayList<>();
+        symbols.forEach(symbol -> names(symbol, lines));
+        for (Fault sign : assigned) {
+            if (!lines.remove((Integer) sign.line())) {
+                faults.add(sign);
+            }
+        }
+    }
+
+    private static void names(Symbol symbol, List<Integer> lines) {
+        if (symbol instanceof HCLAttribute) {
+            lines.add(line(symbol));
+        }
+        children(symbol).forEach(child -> names(child, lines));
+    }
+
     private static int line(Symbol symbol) {
         return symbol.getLine() + 1;
     }
@@ -86,7 +107,6 @@
             if (plain == null) {
                 faults.add(new Fault(line(symbol), column(symbol), "'" + symbol.getName()
                         + "' is not a plain value; texts stand in quotes, and nothing is worked out here"));
-                plain = "";
             }
             into.put(symbol.getName(), new Section.Value(plain, line(symbol), column(symbol)));
         } else {
--- a/tools/src/main/java/tillerlink/operator/OperatorFile.java
+++ b/tools/src/main/java/tillerlink/operator/OperatorFile.java
@@ -3,12 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import tillerlink.emulator.Fleet;
-import tillerlink.emulator.Kind;
-import tillerlink.emulator.Spec;
-import tillerlink.emulator.Trouble;
+import tillerlink.fleet.Fleet;
+import tillerlink.fleet.Kind;
+import tillerlink.fleet.Spec;
+import tillerlink.fleet.Trouble;
 import tillerlink.model.Effect;
 import tillerlink.trace.Layout;
 import tillerlink.workload.Plan;
@@ -65,8 +64,7 @@
         all.close();
         file.checkNames(all);
         if (!faults.isEmpty()) {
-            Collections.sort(faults);
-            throw new FaultyException(path, faults);
+            throw new FaultyException(path, faults.stream().sorted().distinct().toList());
         }
         return file;
     }
--- a/tools/src/main/java/tillerlink/operator/Section.java
+++ b/tools/src/main/java/tillerlink/operator/Section.java
@@ -12,7 +12,7 @@
  * asked of it is unknown. Every fault is noted with its place, and reading goes on with a value that will do.
  */
 final class Section {
-    /** A value and where it stands; lists hold plain values. */
+    /** A value and where it stands; lists hold plain values. One that can't be used is null. */
     record Value(Object value, int line, int column) {
     }
 
@@ -23,6 +23,7 @@
     private final Map<String, Value> values = new LinkedHashMap<>();
     private final List<Section> sections = new ArrayList<>();
     private final Set<String> asked = new LinkedHashSet<>();
+    private final Set<String> blocksAsked = new LinkedHashSet<>();
     private final List<Fault> faults;
 
     Section(String type, List<String> labels, int line, int column, List<Fault> faults) {
@@ -56,6 +57,13 @@
         faults.add(new Fault(at.line, at.column, what));
     }
 
+    /** A value that could not be read was told of when it was. */
+    private void faultUnlessTold(Value at, String what) {
+        if (at.value != null) {
+            fault(at, what);
+        }
+    }
+
     // ---- what is asked of it ----
 
     /** The one label that a block of this type bears. */
@@ -87,7 +95,7 @@
             return Double.isNaN(otherwise) ? least : otherwise;
         }
         if (!(value.value instanceof Number number)) {
-            fault(value, "'" + name + "' is not a number");
+            faultUnlessTold(value, "'" + name + "' is not a number");
             return least;
         }
         double given = number.doubleValue();
@@ -127,7 +135,7 @@
         if (value.value instanceof String text && !text.isEmpty()) {
             return text;
         }
-        fault(value, "'" + name + "' is not a text in quotes");
+        faultUnlessTold(value, "'" + name + "' is not a text in quotes");
         return "";
     }
 
@@ -139,7 +147,7 @@
                 return one;
             }
         }
-        if (value != null) {
+        if (value != null && value.value != null) {
             StringBuilder all = new StringBuilder();
             for (E one : of.getEnumConstants()) {
                 all.append(all.length() == 0 ? "" : ", ").append(one.name().toLowerCase(java.util.Locale.ROOT));
@@ -155,7 +163,7 @@
             return otherwise;
         }
         if (!(value.value instanceof Boolean flag)) {
-            fault(value, "'" + name + "' is neither true nor false");
+            faultUnlessTold(value, "'" + name + "' is neither true nor false");
             return otherwise;
         }
         return flag;
@@ -172,7 +180,7 @@
             list.forEach(one -> texts.add(one instanceof String text ? text : null));
         }
         if (!(value.value instanceof List) || texts.contains(null) || wanted && texts.isEmpty()) {
-            fault(value, "'" + name + "' is not a list of texts in quotes");
+            faultUnlessTold(value, "'" + name + "' is not a list of texts in quotes");
             return List.of();
         }
         return texts;
@@ -190,7 +198,7 @@
 
     /** All blocks of a type. */
     List<Section> all(String of) {
-        asked.add(of);
+        blocksAsked.add(of);
         return sections.stream().filter(section -> section.type.equals(of)).toList();
     }
 
@@ -211,7 +219,7 @@
             }
         });
         for (Section section : sections) {
-            if (!asked.contains(section.type)) {
+            if (!blocksAsked.contains(section.type)) {
                 section.fault("a block '" + section.type + "' is not known in " + this);
             }
         }
--- a/tools/src/main/java/tillerlink/replay/Front.java
+++ b/tools/src/main/java/tillerlink/replay/Front.java
@@ -6,21 +6,17 @@
 import java.util.List;
 import java.util.Set;
 import tillerlink.audit.Auditor;
-import tillerlink.emulator.Seat;
 import tillerlink.emulator.World;
-import tillerlink.net.state.Break;
-import tillerlink.net.state.Pipe;
 import tillerlink.standin.HttpAnswers;
 import tillerlink.standin.Results;
 import tillerlink.workload.Arrival;
 import tillerlink.workload.Track;
 
 /**
- * The clients of a replay in virtual time: each submission is sent when it arrives, whatever became of those before it,
+ * The clients of a replay: each submission is sent when it arrives, whatever became of those before it,
  * to a gateway that is up, and its result is fetched as the protocol says.
  */
-final class Front {
-    private static final long DELAY = 2;
+public final class Front {
     private static final int CALLS_MOST = 3;
     /** Each time limit is 50 ms longer on sockets. */
     private static final long SLACK = 500;
@@ -31,83 +27,90 @@
         private final Arrival arrival;
         private final Track track;
         private final String id;
-        private final Seat seat;
+        private final int gateway;
         private final long askedAt;
         private String path;
         private int calls;
         private boolean over;
 
-        Request(Arrival arrival, Track track, String id, Seat seat, long askedAt) {
+        Request(Arrival arrival, Track track, String id, int gateway, long askedAt) {
             this.arrival = arrival;
             this.track = track;
             this.id = id;
-            this.seat = seat;
+            this.gateway = gateway;
             this.askedAt = askedAt;
         }
     }
 
     private final World world;
+    private final Lines lines;
     private final Figures figures;
     private final Wording wording;
-    private final long start;
+    private long start;
     private final Set<Request> open = new LinkedHashSet<>();
     private final List<ArrayDeque<Conversation>> idle = new ArrayList<>();
     private final List<Set<Conversation>> all = new ArrayList<>();
 
-    Front(World world, Figures figures, Wording wording) {
+    public Front(World world, Lines lines, Figures figures, Wording wording) {
         this.world = world;
+        this.lines = lines;
         this.figures = figures;
         this.wording = wording;
         start = world.now();
-        world.seats.forEach(seat -> {
+        for (int i = 0; i < world.fleet.gateways(); i++) {
             idle.add(new ArrayDeque<>());
             all.add(new LinkedHashSet<>());
-        });
+        }
         world.onKill(this::killed);
     }
 
+    /** The run begins then, not now. */
+    public void startAt(long at) {
+        start = at;
+    }
+
     /** How many wait for their answers. */
-    int open() {
+    public int open() {
         return open.size();
     }
 
-    void arrive(Arrival arrival) {
+    public void arrive(Arrival arrival) {
         Track track = world.tracks.get(arrival.track());
         figures.arrived(world.now() - start, arrival.track());
-        Seat seat = seatFor(arrival);
-        Request request = new Request(arrival, track, wording.id(arrival), seat, world.now());
-        if (seat == null) {
+        int gateway = gatewayFor(arrival);
+        Request request = new Request(arrival, track, wording.id(arrival), gateway, world.now());
+        if (gateway < 0) {
             finish(request, End.KILLED);
             return;
         }
         open.add(request);
         world.expect(request.id, new World.Job(arrival.work(), track.width(), arrival.memory()));
-        world.auditor.taken(world.now(), world.seats.indexOf(seat), request.id, arrival.track(), null,
+        world.auditor.taken(world.now(), gateway, request.id, arrival.track(), null,
                 world.now() + track.hardStop());
         say(request, wording.submission(arrival, track, request.id));
         world.timeline.at(world.now() + track.hardStop() + SLACK, () -> leave(request));
     }
 
     /** Drawn by the submission alone; a front passes over gateways that are down. */
-    private Seat seatFor(Arrival arrival) {
-        int count = world.seats.size();
+    private int gatewayFor(Arrival arrival) {
+        int count = world.fleet.gateways();
         int first = (int) Long.remainderUnsigned(arrival.key() * 0x9e3779b97f4a7c15L >>> 16, count);
         for (int i = 0; i < count; i++) {
-            Seat seat = world.seats.get((first + i) % count);
-            if (seat.isUp()) {
-                return seat;
+            if (lines.isUp((first + i) % count)) {
+                return (first + i) % count;
             }
         }
-        return null;
+        return -1;
     }
 
     private void say(Request request, byte[] bytes) {
-        Conversation free = idle.get(world.seats.indexOf(request.seat)).pollLast();
-        while (free != null && free.staleAt(world.now())) {
-            free.hangUp();
-            free = idle.get(world.seats.indexOf(request.seat)).pollLast();
+        ArrayDeque<Conversation> free = idle.get(request.gateway);
+        Conversation with = free.pollLast();
+        while (with != null && with.staleAt(world.now())) {
+            with.hangUp();
+            with = free.pollLast();
         }
-        Conversation with = free == null ? new Conversation(request.seat) : free;
+        with = with == null ? new Conversation(request.gateway) : with;
         with.request = request;
         with.say(bytes);
     }
@@ -171,87 +174,64 @@
         world.auditor.left(world.now(), request.id, true);
         finish(request, End.CLIENT_GONE);
         if (request.path != null) {
-            Conversation last = new Conversation(request.seat);
+            Conversation last = new Conversation(request.gateway);
             last.say(Wording.leave(request.path));
         }
     }
 
-    private void killed(Seat seat) {
-        int place = world.seats.indexOf(seat);
-        List.copyOf(all.get(place)).forEach(conversation -> conversation.over = true);
-        all.get(place).clear();
-        idle.get(place).clear();
+    private void killed(int gateway) {
+        List.copyOf(all.get(gateway)).forEach(Conversation::hangUp);
         for (Request request : List.copyOf(open)) {
-            if (request.seat == seat) {
+            if (request.gateway == gateway) {
                 finish(request, End.KILLED);
             }
         }
     }
 
     /** A client's connection to a gateway. */
-    private final class Conversation implements Pipe {
-        private final Seat seat;
-        private final int place;
+    private final class Conversation implements Lines.Client {
+        private final int gateway;
         private final HttpAnswers reader = new HttpAnswers();
-        private Owner owner;
+        private final Lines.Line line;
         private Request request;
         private boolean over;
         private long freeSince;
 
-        Conversation(Seat seat) {
-            this.seat = seat;
-            place = world.seats.indexOf(seat);
-            all.get(place).add(this);
-            world.timeline.at(world.now() + DELAY, () -> {
-                if (!over) {
-                    seat.post(() -> owner = seat.accept(this));
-                }
-            });
+        Conversation(int gateway) {
+            this.gateway = gateway;
+            all.get(gateway).add(this);
+            line = lines.open(gateway, this);
         }
 
         void say(byte[] bytes) {
-            world.timeline.at(world.now() + DELAY, () -> {
-                if (!over) {
-                    seat.post(() -> {
-                        if (!over) {
-                            owner.fed(bytes);
-                        }
-                    });
-                }
-            });
+            line.say(bytes);
         }
 
         @Override
-        public void write(byte[] bytes) {
-            seat.post(() -> {
-                if (!over) {
-                    owner.written();
-                }
-            });
-            world.timeline.at(world.now() + DELAY, () -> hear(bytes));
-        }
-
-        private void hear(byte[] bytes) {
-            if (over && request == null) {
+        public void heard(byte[] bytes) {
+            if (over) {
                 return;
             }
-            reader.feed(bytes);
-            for (HttpAnswers.Answer answer = reader.next(); answer != null; answer = reader.next()) {
-                Request of = request;
-                if (of == null) {
-                    hangUp();
-                } else {
-                    heard(this, of, answer);
+            try {
+                reader.feed(bytes);
+                for (HttpAnswers.Answer answer = reader.next(); answer != null && !over; answer = reader.next()) {
+                    Request of = request;
+                    if (of == null) {
+                        hangUp();
+                    } else {
+                        Front.this.heard(this, of, answer);
+                    }
                 }
+            } catch (IllegalArgumentException e) {
+                hangUp();
+                broken(request);
             }
         }
 
         void free() {
             request = null;
             freeSince = world.now();
-            if (!over) {
-                idle.get(place).addLast(this);
-            }
+            idle.get(gateway).addLast(this);
         }
 
         boolean staleAt(long now) {
@@ -261,36 +241,23 @@
         /** The client closes. */
         void hangUp() {
             if (!over) {
-                over = true;
-                all.get(place).remove(this);
-                world.timeline.at(world.now() + DELAY, () -> seat.post(() -> owner.ended(Break.CLOSED_BY_PEER)));
+                forget();
+                line.hangUp();
             }
         }
 
-        @Override
-        public void close() {
-            end();
-        }
-
-        @Override
-        public void drop() {
-            end();
-        }
-
-        /** The gateway closes; what it had written before that still comes. */
-        private void end() {
-            if (over) {
-                return;
-            }
+        private void forget() {
             over = true;
-            all.get(place).remove(this);
-            idle.get(place).remove(this);
-            world.timeline.at(world.now() + DELAY, () -> broken(request));
+            all.get(gateway).remove(this);
+            idle.get(gateway).remove(this);
         }
 
         @Override
-        public void hold(boolean held) {
-            // Clients of a replay never send ahead.
+        public void ended() {
+            if (!over) {
+                forget();
+                broken(request);
+            }
         }
     }
 }
--- a/tools/src/main/java/tillerlink/replay/Job.java
+++ b/tools/src/main/java/tillerlink/replay/Job.java
@@ -2,8 +2,8 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import tillerlink.emulator.Fleet;
-import tillerlink.emulator.Trouble;
+import tillerlink.fleet.Fleet;
+import tillerlink.fleet.Trouble;
 import tillerlink.port.SteeringFactory;
 import tillerlink.trace.Layout;
 import tillerlink.trace.Shard;
--- a/tools/src/main/java/tillerlink/replay/Report.java
+++ b/tools/src/main/java/tillerlink/replay/Report.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import tillerlink.audit.Breach;
 import tillerlink.audit.Rule;
-import tillerlink.emulator.Trouble;
+import tillerlink.fleet.Trouble;
 import tillerlink.trace.Skip;
 import tillerlink.trace.Tally;
 
@@ -21,17 +21,26 @@
     private Report() {
     }
 
-    public static void write(Run run, Path file) throws IOException {
+    public static void write(Played run, Path file) throws IOException {
         try (JsonGenerator json = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
             json.useDefaultPrettyPrinter();
             json.writeStartObject();
-            json.writeStringField("figures_of", "emulated engines, in virtual time");
+            json.writeStringField("figures_of", run.lag() == null ? "emulated engines, in virtual time"
+                    : "stand-in engines, over sockets");
             json.writeStringField("policy", run.job().policyName());
             json.writeStringField("layout", run.job().layout().name());
             json.writeNumberField("seed", run.job().seed());
             json.writeNumberField("gateways", run.job().fleet().gateways());
             json.writeNumberField("engines", run.job().fleet().engines().size());
             json.writeNumberField("cores", (long) run.job().fleet().cores());
+            if (run.lag() != null) {
+                json.writeObjectFieldStart("lag_ms");
+                number(json, "half", run.lag().getValueAtPercentile(50) / 10.0);
+                number(json, "99_of_100", run.lag().getValueAtPercentile(99) / 10.0);
+                number(json, "most", run.lag().getMaxValue() / 10.0);
+                json.writeBooleanField("figure_counts", run.inTime());
+                json.writeEndObject();
+            }
             rows(json, run.arrivals());
             scaling(json, run);
             service(json, run);
@@ -78,7 +87,7 @@
         json.writeEndObject();
     }
 
-    private static void scaling(JsonGenerator json, Run run) throws IOException {
+    private static void scaling(JsonGenerator json, Played run) throws IOException {
         Arrivals arrivals = run.arrivals();
         json.writeObjectFieldStart("scaling");
         number(json, "load_wanted", run.job().load());
@@ -96,7 +105,7 @@
         json.writeEndObject();
     }
 
-    private static void service(JsonGenerator json, Run run) throws IOException {
+    private static void service(JsonGenerator json, Played run) throws IOException {
         Figures figures = run.figures();
         json.writeObjectFieldStart("service");
         number(json, "whole", figures.whole());
@@ -127,7 +136,7 @@
         json.writeEndObject();
     }
 
-    private static void rules(JsonGenerator json, Run run) throws IOException {
+    private static void rules(JsonGenerator json, Played run) throws IOException {
         json.writeObjectFieldStart("rules_broken");
         for (Map.Entry<Rule, Long> count : run.auditor().counts().entrySet()) {
             json.writeNumberField(count.getKey().name().toLowerCase(Locale.ROOT), count.getValue());
@@ -148,7 +157,7 @@
         json.writeEndArray();
     }
 
-    private static void engines(JsonGenerator json, Run run) throws IOException {
+    private static void engines(JsonGenerator json, Played run) throws IOException {
         json.writeObjectFieldStart("busy_share_by_engine");
         for (Map.Entry<String, Double> engine : run.world().busy(run.lasted()).entrySet()) {
             number(json, engine.getKey(), engine.getValue());
--- /dev/null
+++ b/tools/src/main/java/tillerlink/rig/Clock.java
@@ -0,0 +1,21 @@
+package tillerlink.rig;
+
+import java.time.Instant;
+
+/** Unix time in tenths of a millisecond as of the start, carried on evenly. */
+final class Clock {
+    private static final long NANOS_PER_TENTH = 100_000;
+    private static final long TENTHS_PER_SECOND = 10_000;
+
+    private final long startNanos = System.nanoTime();
+    private final long start;
+
+    Clock() {
+        Instant unix = Instant.now();
+        start = unix.getEpochSecond() * TENTHS_PER_SECOND + unix.getNano() / NANOS_PER_TENTH;
+    }
+
+    long now() {
+        return start + (System.nanoTime() - startNanos) / NANOS_PER_TENTH;
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/tillerlink/rig/EngineSockets.java
@@ -0,0 +1,189 @@
+package tillerlink.rig;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import tillerlink.emulator.EmulatedEngine;
+import tillerlink.emulator.HopWatch;
+import tillerlink.emulator.Peer;
+import tillerlink.emulator.World;
+import tillerlink.net.state.Break;
+import tillerlink.standin.EngineCommands;
+import tillerlink.standin.EngineCommands.Command;
+
+/**
+ * Stand-in engines on loopback: the emulated ones, behind sockets. Each gateway reaches each engine at a port of its
+ * own, so that what comes tells whose it is.
+ */
+final class EngineSockets implements Closeable {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int BACKLOG = 256;
+    private static final String PEER = "peer";
+
+    /** Whose port it is. */
+    private record Door(EmulatedEngine engine, int gateway) {
+    }
+
+    private final World world;
+    private final Consumer<Runnable> post;
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
+    private final Map<SocketAddress, Door> doors = new ConcurrentHashMap<>();
+    private final Map<String, List<InetSocketAddress>> ports = new HashMap<>();
+    private final Set<EmulatedEngine> closed = new HashSet<>();
+
+    EngineSockets(World world, Consumer<Runnable> post) {
+        this.world = world;
+        this.post = post;
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.getSessionConfig().setTcpNoDelay(true);
+        acceptor.setHandler(new Handler());
+    }
+
+    /** An engine has come up: it listens. */
+    void open(EmulatedEngine engine) {
+        List<InetSocketAddress> own = new ArrayList<>();
+        for (int gateway = 0; gateway < world.fleet.gateways(); gateway++) {
+            try {
+                Set<SocketAddress> before = new HashSet<>(acceptor.getLocalAddresses());
+                acceptor.bind(new InetSocketAddress(LOOPBACK, 0));
+                Set<SocketAddress> after = new HashSet<>(acceptor.getLocalAddresses());
+                after.removeAll(before);
+                InetSocketAddress port = (InetSocketAddress) after.iterator().next();
+                doors.put(port, new Door(engine, gateway));
+                own.add(port);
+            } catch (IOException e) {
+                throw new IllegalStateException("an engine can't listen: " + e.getMessage(), e);
+            }
+        }
+        ports.put(engine.spec.name(), own);
+    }
+
+    /** Where a gateway reaches an engine. */
+    InetSocketAddress port(String engine, int gateway) {
+        return ports.get(engine).get(gateway);
+    }
+
+    /** Looks which engines have ended since: they listen no longer. */
+    void sweep() {
+        for (Map.Entry<SocketAddress, Door> door : doors.entrySet()) {
+            EmulatedEngine engine = door.getValue().engine;
+            if (engine.isEnded() && closed.add(engine)) {
+                ports.get(engine.spec.name()).forEach(acceptor::unbind);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        acceptor.dispose(false);
+    }
+
+    /** A gateway's connection to an engine. */
+    private final class SocketPeer implements Peer {
+        private final Door door;
+        private final IoSession session;
+        private final EngineCommands reader = new EngineCommands();
+        private final HopWatch hops;
+        private boolean over;
+
+        SocketPeer(Door door, IoSession session) {
+            this.door = door;
+            this.session = session;
+            hops = new HopWatch(world.auditor, door.gateway, door.engine.spec.name());
+        }
+
+        void opened() {
+            if (door.engine.isEnded()) {
+                cut(Break.RESET);
+            } else {
+                door.engine.connected(this);
+            }
+        }
+
+        void fed(byte[] bytes) {
+            if (over || door.engine.isSilent()) {
+                return;
+            }
+            try {
+                reader.feed(bytes);
+                for (Command command = reader.next(); command != null; command = reader.next()) {
+                    hops.goesOut(world.now(), command);
+                    door.engine.heard(this, command);
+                }
+            } catch (IllegalArgumentException e) {
+                cut(Break.CLOSED_BY_PEER);
+            }
+        }
+
+        @Override
+        public void say(byte[] bytes) {
+            if (!over) {
+                hops.comesBack(bytes);
+                session.write(IoBuffer.wrap(bytes));
+            }
+        }
+
+        @Override
+        public void cut(Break how) {
+            if (how == Break.RESET) {
+                ((SocketSessionConfig) session.getConfig()).setSoLinger(0);
+            }
+            session.closeNow();
+            ended();
+        }
+
+        void ended() {
+            if (!over) {
+                over = true;
+                hops.ended(false);
+                door.engine.disconnected(this);
+            }
+        }
+    }
+
+    private final class Handler extends IoHandlerAdapter {
+        @Override
+        public void sessionOpened(IoSession session) {
+            SocketPeer peer = new SocketPeer(doors.get(session.getLocalAddress()), session);
+            session.setAttribute(PEER, peer);
+            post.accept(peer::opened);
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            IoBuffer buffer = (IoBuffer) message;
+            byte[] bytes = new byte[buffer.remaining()];
+            buffer.get(bytes);
+            SocketPeer peer = (SocketPeer) session.getAttribute(PEER);
+            post.accept(() -> peer.fed(bytes));
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            SocketPeer peer = (SocketPeer) session.getAttribute(PEER);
+            if (peer != null) {
+                post.accept(peer::ended);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.closeNow();
+        }
+    }
+}
