--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# make demo | build | tools | classes | test | lint | run; run takes CONFIG=path, by default the example's.
+# make demo | build | tools | bench | classes | test | lint | run; run takes CONFIG=path, by default the example's.
 CONFIG ?= examples/configuration.json
 RUN = $(shell sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 BUILD = $(shell sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 
-.PHONY: demo build tools classes test lint run
+.PHONY: demo build tools bench classes test lint run
 build:
 	$(BUILD)
 
@@ -14,6 +14,11 @@
 demo: tools
 	bin/tillerlink demo
 
+# Data structures made for the job against plain ones; FOR=Name plays one of them.
+bench:
+	mvn -q -P bench -DskipTests package
+	java -jar bench/target/tillerlink-bench.jar $(FOR)
+
 # The classes that a gateway loads, for its archive: run it, use it, end it with Ctrl-C. To be made anew when libraries change.
 classes: build
 	EDGE_CONFIG=$(CONFIG) sh -c '$(subst -XX:SharedArchiveFile=target/tillerlink.jsa,-XX:DumpLoadedClassList=deploy/classes.lst,$(RUN))'
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -8,6 +8,13 @@
   level = "info"
 }
 
+# Engines that speak HTTP/2, by prior knowledge and as docs/http2-wire.md says; the others are reached over engine lines.
+# Without this part all are. Either kinds, or all = true.
+http2 {
+  kinds        = ["big-16"]
+  streams_most = 256         # on one connection, whatever an engine allows; left out: 256
+}
+
 # A layout of traces beside those that are built in. Columns are named in the file's order, or by its header;
 # where a column is wanted, its name or its place from 1 on will do.
 layout "batch-log" {
--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -8,6 +8,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tillerlink.net.io.MinaDriver;
+import tillerlink.net.state.Carrier;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
 import tillerlink.net.wire.Assignment;
@@ -35,6 +36,12 @@
     /** Serves until it is told to end. */
     public void serve(Map<String, String> environment, SteeringFactory modules)
             throws IOException, InterruptedException {
+        serve(environment, modules, null);
+    }
+
+    /** @param carriers how engines are reached, by their kinds; null: over engine lines */
+    public void serve(Map<String, String> environment, SteeringFactory modules, Carrier.Factory carriers)
+            throws IOException, InterruptedException {
         String file = environment.get("EDGE_CONFIG");
         if (file == null) {
             throw new IOException("EDGE_CONFIG names no file");
@@ -48,7 +55,7 @@
         }
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
-        gateway = new Gateway(assignment, modules, driver, clock.now());
+        gateway = new Gateway(assignment, modules, driver, clock.now(), carriers);
         if (!onHangUp(() -> reload(path, driver))) {
             LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
             new Watch(path, () -> reload(path, driver)).start();
@@ -73,8 +80,9 @@
     }
 
     /**
-     * SIGHUP came, or the file changed where that can't be heard: the name service is asked where the configuration says now; all else goes on. Runs on a thread of
-     * the signal's own, one after the other: of two that come at once, the later reading holds.
+     * SIGHUP came, or the file changed where that can't be heard: the name service is asked where the configuration
+     * says now; all else goes on. Runs on a thread of the signal's own, one after the other: of two that come at once,
+     * the later reading holds.
      */
     private synchronized void reload(Path path, MinaDriver driver) {
         try {
--- /dev/null
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -0,0 +1,69 @@
+package tillerlink.net.state;
+
+import java.net.InetSocketAddress;
+import tillerlink.model.Note;
+import tillerlink.model.Outcome;
+
+/** How hops reach one engine and what it says of them comes back: its connections, in whatever protocol it speaks. */
+public interface Carrier {
+    /** What the state is told by a carrier, in the turn in which it happened. */
+    interface Owner {
+        /** Tenths of a millisecond; the clock of the turn. */
+        long now();
+
+        /** Word on a hop that is still out. */
+        void noted(Flight flight, Note note, double level);
+
+        /** A hop is over; told once. One that was taken in this turn ends by {@link #later} at the soonest. */
+        void ended(Flight flight, Outcome outcome);
+
+        /** Something of the next turn. */
+        void later(Runnable what);
+
+        /** Bytes that are kept for a client, or no longer. */
+        void held(long more);
+
+        /** Warns, at a bounded rate. */
+        void rarely(String line);
+
+        /** Begins a connection. */
+        Pipe dial(InetSocketAddress to, Pipe.Owner owner);
+
+        /** Connections to engines that may be open at once, by all carriers together. */
+        int linksMost();
+
+        /** How many are open or coming up now. */
+        int links();
+
+        /** How many engines are known. */
+        int engines();
+
+        /** One was dialed, or is over. */
+        void counted(int more);
+    }
+
+    /** A hop is to go out. If there is no way to, it ends as one that never ran, in the next turn. */
+    void send(Flight flight);
+
+    /** Gives a hop up that is out; what that proves. The state ends it. */
+    Outcome giveUp(Flight flight);
+
+    /** A hop is over and is expected here no more. */
+    void release(Flight flight);
+
+    /** Looks after what time brings. */
+    void sweep(long connectMost, long idleMost);
+
+    /** Takes no new hops over what is open now: that leads to a process which is not the one listed. */
+    void retireAll();
+
+    /** Whether nothing is left of it. */
+    boolean isEmpty();
+
+    /** Makes the carrier of an engine. */
+    @FunctionalInterface
+    interface Factory {
+        /** @param kind the engine's kind, by its name */
+        Carrier of(Owner owner, EngineSite site, String kind);
+    }
+}
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -19,8 +19,9 @@
     private static final int RESULT_MOST = 48_000;
     private static final String TAG = "0";
 
-    final EngineSite site;
-    private final Gateway gateway;
+    private final LineCarrier carrier;
+    private final EngineSite site;
+    private final Carrier.Owner gateway;
     private final long dialedAt;
     private final EngineReader reader = new EngineReader();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
@@ -41,16 +42,17 @@
     /** Since when half an answer waits for the rest; 0 if none does. */
     private long midwaySince;
 
-    EngineLink(Gateway gateway, EngineSite site, long now) {
-        this.gateway = gateway;
-        this.site = site;
+    EngineLink(LineCarrier carrier, long now) {
+        this.carrier = carrier;
+        gateway = carrier.owner;
+        site = carrier.site;
         dialedAt = now;
         heardAt = now;
         idleSince = now;
     }
 
-    void dial(Driver driver) {
-        pipe = driver.dial(site.address, this);
+    void dial() {
+        pipe = gateway.dial(site.address(), this);
     }
 
     boolean takes(String id, int most) {
@@ -71,8 +73,8 @@
      * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
      * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt.
      * If another connection to that engine works, this one alone is dead: its hops are over and their answers lost.
-     * The same holds for half an answer whose rest does not come. What still waits to go out to an engine that drains is
-     * never sent. It should hold against any cut; it may hurt where a
+     * The same holds for half an answer whose rest does not come. What still waits to go out to an engine that drains
+     * is never sent. It should hold against any cut; it may hurt where a
      * network loses everything for half a second.
      */
     void sweep(long connectMost, long idleMost) {
@@ -97,8 +99,8 @@
         if (!silent || over) {
             return;
         }
-        if (!site.heardSince(askedAt)) {
-            gateway.tryAnew(site);
+        if (!carrier.heardSince(askedAt)) {
+            carrier.tryAnew();
         } else if (now >= askedAt + connectMost) {
             end(Break.MUTE);
         }
@@ -131,7 +133,7 @@
 
     void send(Flight flight) {
         flight.link = this;
-        flights.put(flight.call.ask.id(), flight);
+        flights.put(flight.id(), flight);
         if (open) {
             start(flight);
         }
@@ -148,7 +150,7 @@
         } else if (site.ready()) {
             want(flight);
         } else {
-            gateway.unsent(flight, Break.WITHDRAWN);
+            carrier.unsent(flight, Break.WITHDRAWN);
         }
     }
 
@@ -159,9 +161,8 @@
     }
 
     private void want(Flight flight) {
-        long left = gateway.millisLeft(flight.call);
-        flight.place = write(EngineCommand.want(flight.call.ask.id(), flight.call.ask.track(), left,
-                flight.call.ask.key(), flight.call.ask.statement()));
+        flight.place = write(EngineCommand.want(flight.id(), flight.track(), flight.millisLeft(gateway.now()),
+                flight.key(), flight.statement()));
     }
 
     private long write(byte[] bytes) {
@@ -173,15 +174,15 @@
     Outcome giveUp(Flight flight) {
         boolean sent = flight.place != Flight.UNSENT;
         if (sent && !over) {
-            write(EngineCommand.neverMind(flight.call.ask.id()));
+            write(EngineCommand.neverMind(flight.id()));
         }
         return Break.CLOSED_BY_US.outcome(sent);
     }
 
     /** A hop is over: nothing more of it is expected here. */
     void release(Flight flight) {
-        if (flights.remove(flight.call.ask.id(), flight)) {
-            ended.add(flight.call.ask.id());
+        if (flights.remove(flight.id(), flight)) {
+            ended.add(flight.id());
             if (ended.size() > ENDED_KEPT) {
                 ended.remove(ended.iterator().next());
             }
@@ -287,7 +288,7 @@
     private void turnPages(Flight flight) {
         for (int page = 1; page < flight.pages.length; page++) {
             if (flight.lacks(page)) {
-                write(EngineCommand.turn(flight.call.ask.id(), page));
+                write(EngineCommand.turn(flight.id(), page));
             }
         }
     }
@@ -301,7 +302,7 @@
         }
         if (flight.missing == 0) {
             if (flight.pages.length > 1) {
-                write(EngineCommand.shut(flight.call.ask.id()));
+                write(EngineCommand.shut(flight.id()));
             }
             gateway.ended(flight, Outcome.FULFILLED);
         }
@@ -319,20 +320,19 @@
             return;
         }
         over = true;
-        site.links.remove(this);
-        gateway.linkEnded();
+        carrier.linkEnded(this);
         if (how == Break.CLOSED_BY_US) {
             pipe.close();
         } else {
             pipe.drop();
         }
         for (Flight flight : List.copyOf(flights.values())) {
-            if (how == Break.CLOSED_BY_US || how == Break.SILENT || !gateway.mend(flight)) {
+            if (how == Break.CLOSED_BY_US || how == Break.SILENT || !carrier.mend(flight)) {
                 gateway.ended(flight, how.outcome(flight.place <= writesDone || flight.pages != null));
             }
         }
         if (how == Break.REFUSED || how == Break.NEVER_UP) {
-            site.nobodyThere();
+            carrier.nobodyThere();
         }
     }
 }
--- a/gateway/src/main/java/tillerlink/net/state/EngineList.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineList.java
@@ -19,7 +19,12 @@
     private final List<?> zones;
     private long index;
 
-    EngineList(Named terms) {
+    private final Carrier.Owner owner;
+    private final Carrier.Factory carriers;
+
+    EngineList(Named terms, Carrier.Owner owner, Carrier.Factory carriers) {
+        this.owner = owner;
+        this.carriers = carriers;
         kinds = terms.list("models");
         zones = terms.list("zones");
     }
@@ -32,7 +37,12 @@
         index = news.index();
         List<Listed> listed = new ArrayList<>(news.entries().size());
         for (EngineEntry entry : news.entries()) {
-            EngineSite site = sites.computeIfAbsent(entry.id(), EngineSite::new);
+            EngineSite site = sites.get(entry.id());
+            if (site == null) {
+                site = new EngineSite(entry.id());
+                site.carrier = carriers.of(owner, site, entry.kind());
+                sites.put(entry.id(), site);
+            }
             site.at(entry);
             listed.add(new Listed(site.engine, place(kinds, entry.kind()), place(zones, entry.zone()), entry.cell(),
                     entry.weight(), entry.standing(),
@@ -51,10 +61,10 @@
     void sweep(long connectMost, long idleMost) {
         for (Iterator<EngineSite> i = sites.values().iterator(); i.hasNext();) {
             EngineSite site = i.next();
-            List.copyOf(site.links).forEach(link -> link.sweep(connectMost, idleMost));
+            site.carrier.sweep(connectMost, idleMost);
             if (site.engine.standing == Engine.Standing.GONE) {
-                site.retireAll();
-                if (site.links.isEmpty() && site.engine.out.isEmpty()) {
+                site.carrier.retireAll();
+                if (site.carrier.isEmpty() && site.engine.out.isEmpty()) {
                     i.remove();
                 }
             }
--- a/gateway/src/main/java/tillerlink/net/state/Flight.java
+++ b/gateway/src/main/java/tillerlink/net/state/Flight.java
@@ -1,13 +1,16 @@
 package tillerlink.net.state;
 
+import java.io.ByteArrayOutputStream;
 import tillerlink.model.Hop;
+import tillerlink.net.wire.Rows;
+import tillerlink.plain.Units;
 
 /** A hop on its way: the connection that bears it, and the pages of its result that have come. */
-final class Flight {
+public final class Flight {
     /** While its connection is not up. */
     static final long UNSENT = Long.MAX_VALUE;
 
-    final Hop hop;
+    public final Hop hop;
     final Call call;
     EngineLink link;
     /** Its place among the writes of its connection; none of it has been written before that one is. */
@@ -18,12 +21,79 @@
     int bytes;
     /** How often its pages were asked for on a further connection. */
     int mended;
+    private ByteArrayOutputStream answer;
 
     Flight(Hop hop, Call call) {
         this.hop = hop;
         this.call = call;
     }
 
+    public String id() {
+        return call.ask.id();
+    }
+
+    public String track() {
+        return call.ask.track();
+    }
+
+    /** The mark against repeats, or null. */
+    public String key() {
+        return call.ask.key();
+    }
+
+    public byte[] statement() {
+        return call.ask.statement();
+    }
+
+    /** How long the client still waits, in milliseconds; 1 at least. */
+    public long millisLeft(long now) {
+        return Math.max(1, (call.submission.leavesAt - now) / Units.TENTHS_PER_MS);
+    }
+
+    // ---- results that come as one body and not in pages ----
+
+    /** The engine has fulfilled it and its result has begun to come. */
+    public void answerBegins() {
+        answer = new ByteArrayOutputStream();
+    }
+
+    /** Whether it has begun: then it has run, whatever becomes of what is asked for since. */
+    public boolean begun() {
+        return answer != null;
+    }
+
+    /** How many bytes of it have come. */
+    public int answerSize() {
+        return answer.size();
+    }
+
+    public void answerGrows(byte[] more) {
+        answer.writeBytes(more);
+        bytes += more.length;
+    }
+
+    void forgetAnswer() {
+        pages = null;
+        answer = null;
+    }
+
+    /** Counts that the rest is asked for on a further connection; false beyond so many times. */
+    public boolean mendAgain(int most) {
+        return mended++ < most;
+    }
+
+    /** It has come whole; false if it is no result. */
+    public boolean completeAnswer() {
+        byte[] rows = answer.toByteArray();
+        try {
+            Rows.check(rows);
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+        pages = new byte[][] {rows};
+        return true;
+    }
+
     /** Whether a page is one that was asked for and has not come. */
     boolean lacks(int number) {
         return pages != null && number >= 1 && number < pages.length && pages[number] == null;
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -1,11 +1,11 @@
 package tillerlink.net.state;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tillerlink.model.Engine;
 import tillerlink.model.Hop;
 import tillerlink.model.Listed;
 import tillerlink.model.Named;
@@ -25,13 +25,12 @@
  * One gateway's state and its door to the module: what clients, engines and the name service say becomes events,
  * orders become what is said to them. One thread owns it; a turn is {@link #begin}, whatever came, {@link #settle}.
  */
-public final class Gateway implements Orders {
+public final class Gateway implements Orders, Carrier.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long SWEEP_EVERY = 50 * Units.TENTHS_PER_MS;
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
     private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
     private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
-    private static final int MENDS_MOST = 3;
     private static final int HEAP_SHARE = 4;
 
     private final Driver driver;
@@ -41,7 +40,6 @@
     private final Steering steering;
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
-    private final int streams;
     private final long connectMost;
     private final long idleMost;
     private final int linksMost;
@@ -54,22 +52,34 @@
     private boolean unsettled;
 
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now) {
-        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
+        this(assignment, factory, driver, now, null);
     }
 
-    /** @param bytesMost how much may be kept for clients; beyond it no submission is taken */
-    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost) {
+    /** @param carriers as below */
+    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, Carrier.Factory carriers) {
+        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, carriers);
+    }
+
+    /**
+     * @param bytesMost how much may be kept for clients; beyond it no submission is taken
+     * @param carriers  how engines are reached, by their kinds; null, or null for an engine: over engine lines
+     */
+    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
+                   Carrier.Factory carriers) {
         this.driver = driver;
         this.now = now;
         Map<String, Object> plain = PlainNames.of(assignment.terms());
         Named terms = new Named(plain);
-        streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
+        int streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
         connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
         idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
         clients = new ClientDoor(this, terms, assignment.clientsMost(), bytesMost);
-        engines = new EngineList(terms);
+        engines = new EngineList(terms, this, (owner, site, kind) -> {
+            Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
+            return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
+        });
         names = new NameService(driver, assignment.seed());
         steering = factory.start(now, assignment.seed(), plain, this);
         assignment.known().forEach(this::listed);
@@ -78,6 +88,7 @@
 
     // ---- turns ----
 
+    @Override
     public long now() {
         return now;
     }
@@ -145,60 +156,67 @@
         call.flights.forEach(flight -> ended(flight, Outcome.OVERDUE));
     }
 
-    /** Counts bytes that are kept for clients. */
-    void held(long more) {
+    @Override
+    public void held(long more) {
         clients.held(more);
     }
 
-    long millisLeft(Call call) {
-        return Math.max(1, (call.submission.leavesAt - now) / Units.TENTHS_PER_MS);
-    }
-
     // ---- engines ----
 
-    void noted(Flight flight, Note note, double level) {
+    @Override
+    public void noted(Flight flight, Note note, double level) {
         steering.noted(now, flight.hop, note, level);
         unsettled = true;
     }
 
-    void ended(Flight flight, Outcome outcome) {
+    @Override
+    public void ended(Flight flight, Outcome outcome) {
         if (!flight.hop.isOut()) {
             return;
         }
-        if (flight.link != null) {
-            flight.link.release(flight);
-        }
+        carrier(flight).release(flight);
         if (outcome == Outcome.FULFILLED) {
             clients.fulfil(flight.call, Rows.answer(flight.pages));
         }
-        flight.pages = null;
+        flight.forgetAnswer();
         held(-flight.bytes);
         long lag = now - flight.hop.sentAt;
         steering.ended(now, flight.hop, outcome, lag, flight.call.settled(), 0, 0, null);
         unsettled = true;
     }
 
-    /** A new connection, or null if there is no room for it. */
-    private EngineLink dial(EngineSite site) {
-        if (links >= linksMost || site.links.size() >= linksMost / engines.size()) {
-            return null;
-        }
-        EngineLink link = new EngineLink(this, site, now);
-        links++;
-        site.links.add(link);
-        link.dial(driver);
-        return link;
+    private static Carrier carrier(Flight flight) {
+        return ((EngineSite) flight.hop.engine.tag).carrier;
     }
 
-    /** Shows whether anybody is there, unless a new connection is about to. */
-    void tryAnew(EngineSite site) {
-        if (site.links.stream().noneMatch(EngineLink::dialing)) {
-            dial(site);
-        }
+    @Override
+    public void later(Runnable what) {
+        next.add(what);
+    }
+
+    @Override
+    public Pipe dial(InetSocketAddress to, Pipe.Owner owner) {
+        return driver.dial(to, owner);
+    }
+
+    @Override
+    public int linksMost() {
+        return linksMost;
     }
 
-    void linkEnded() {
-        links--;
+    @Override
+    public int links() {
+        return links;
+    }
+
+    @Override
+    public int engines() {
+        return engines.size();
+    }
+
+    @Override
+    public void counted(int more) {
+        links += more;
     }
 
     // ---- the name service ----
@@ -230,54 +248,16 @@
     @Override
     public void send(Hop hop) {
         Call call = (Call) hop.submission.tag;
-        EngineSite site = (EngineSite) hop.engine.tag;
         Flight flight = new Flight(hop, call);
         call.flights.add(flight);
-        EngineLink link = linkFor(site, call);
-        if (link == null) {
-            rarely("no room for a further engine connection");
-            unsent(flight, Break.NO_ROOM);
-        } else {
-            link.send(flight);
-        }
-    }
-
-    /** Nothing of a hop was written, and nothing will be: the module hears of it in the next turn. */
-    void unsent(Flight flight, Break why) {
-        next.add(() -> ended(flight, why.outcome(false)));
-    }
-
-    /**
-     * One that bears nothing, else a new one, else the one that bears least. Guards against one spoilt answer, after
-     * which a connection can't be read any more, that takes the hops beside it along.
-     */
-    private EngineLink linkFor(EngineSite site, Call call) {
-        EngineLink link = site.roomy(call.ask.id(), streams);
-        EngineLink fresh = link == null || link.bears() > 0 ? dial(site) : null;
-        return fresh == null ? link : fresh;
-    }
-
-    /**
-     * A hop whose first page is there and whose connection ended: what is missing is asked for on another. The engine
-     * keeps pages, so nothing runs again. False if it can't be, or was tried too often.
-     */
-    boolean mend(Flight flight) {
-        Engine engine = flight.hop.engine;
-        boolean mends = flight.pages != null && flight.mended < MENDS_MOST && flight.hop.isOut()
-                && engine.standing != Engine.Standing.GONE;
-        EngineLink link = mends ? linkFor((EngineSite) engine.tag, flight.call) : null;
-        if (link != null) {
-            flight.mended++;
-            link.send(flight);
-        }
-        return link != null;
+        carrier(flight).send(flight);
     }
 
     @Override
     public void callOff(Hop hop) {
         Flight flight = ((Call) hop.submission.tag).flights.get(hop.number);
-        if (hop.isOut() && flight.link != null) {
-            Outcome outcome = flight.link.giveUp(flight);
+        if (hop.isOut()) {
+            Outcome outcome = carrier(flight).giveUp(flight);
             next.add(() -> ended(flight, outcome));
         }
     }
@@ -307,7 +287,8 @@
         rarely(line);
     }
 
-    void rarely(String line) {
+    @Override
+    public void rarely(String line) {
         rarely.warn(now, line);
     }
 
--- a/gateway/src/main/java/tillerlink/net/wire/Rows.java
+++ b/gateway/src/main/java/tillerlink/net/wire/Rows.java
@@ -16,7 +16,7 @@
      *
      * @throws IllegalArgumentException if a page is not made of whole rows of text in three columns
      */
-    static void check(byte[] page) {
+    public static void check(byte[] page) {
         int tabs = 0;
         for (byte b : page) {
             tabs += b == '\t' ? 1 : 0;
--- a/tools/src/main/java/com/bertramlabs/plugins/hcl4j/Symbols.java
+++ b/tools/src/main/java/com/bertramlabs/plugins/hcl4j/Symbols.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * Hands out what hcl4j's lexer reads, with lines and columns. The parser of the library throws these away, and its lexer
- * is visible from this package only.
+ * Hands out what hcl4j's lexer reads, with lines and columns. The parser of the library throws these away, and its
+ * lexer is visible from this package only.
  */
 public final class Symbols {
     private Symbols() {
--- a/tools/src/main/java/tillerlink/audit/Auditor.java
+++ b/tools/src/main/java/tillerlink/audit/Auditor.java
@@ -19,7 +19,7 @@
  * how a gateway comes to its decisions, and keeps nothing of a submission once all that can be said of it was said.
  * Times are tenths of a millisecond.
  */
-public final class Auditor {
+public class Auditor {
     /** How late a final answer may be on sockets. */
     private static final long ANSWER_SLACK = 500;
     private static final int KEPT_OF_EACH = 20;
--- a/tools/src/main/java/tillerlink/cli/DemoCommand.java
+++ b/tools/src/main/java/tillerlink/cli/DemoCommand.java
@@ -45,7 +45,8 @@
                 maker.make(rows);
             }
             Job job = new Job(List.of(Shard.of(trace)), LAYOUT, BuiltIn.tracks(LAYOUT), Fleet.builtIn(2), List.of(),
-                    (long) (60 * Words.SECOND), null, 0, LOAD, Plan.Scale.TIME, 0.4, 0.1, 1, "module", Policy::new);
+                    (long) (60 * Words.SECOND), null, 0, LOAD, Plan.Scale.TIME, 0,
+                    0.4, 0.1, 1, "module", Policy::new);
             try (Arrivals arrivals = new Arrivals(job)) {
                 spec.commandLine().getErr().println("two gateways are starting; the replay takes some ten seconds");
                 spec.commandLine().getErr().flush();
--- a/tools/src/main/java/tillerlink/cli/ReplayCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ReplayCommand.java
@@ -37,6 +37,9 @@
     /** What decides. */
     enum Choice { MODULE, RANDOM, LEAST_OUTSTANDING }
 
+    /** What engines speak. */
+    enum Speech { LINES, H2, MIXED }
+
     private static final long TELL_EVERY_NANOS = 1_000_000_000L;
 
     @Spec
@@ -57,10 +60,17 @@
     private Double load;
     @Option(names = "--scale", description = "what gives way for that: ${COMPLETION-CANDIDATES} (default TIME)")
     private Plan.Scale scale;
+    @Option(names = "--jobs", defaultValue = "0", paramLabel = "SHARE",
+            description = "with --scale both: the share of jobs that is in; time gives way for the rest")
+    private double jobs;
     @Option(names = "--gateways", description = "how many (default 3, or as in the operator's fleet)")
     private Integer gateways;
-    @Option(names = "--engines", description = "how many of the built-in fleet (default 12)")
+    @Option(names = "--engine-count", description = "how many of the built-in fleet (default 12)")
     private Integer engines;
+    @Option(names = "--engines", defaultValue = "LINES",
+            description = "what they speak: ${COMPLETION-CANDIDATES}, mixed being every second kind over HTTP/2"
+                    + " (default ${DEFAULT-VALUE}, or as in the operator's file)")
+    private Speech speech;
     @Option(names = "--window",
             description = "seconds of trace time in which rows may stand out of order (default 3600)")
     private Double window;
@@ -115,8 +125,9 @@
         double loadWanted = load == null ? plain.load() : load;
         long ordering = window == null ? plain.window() : (long) (window * Words.SECOND);
         check(loadWanted > 0 && loadWanted <= 10, "--load is above 0 and at most 10");
+        check(jobs >= 0 && jobs <= 1, "--jobs is a share");
         check(gateways == null || gateways >= 1 && gateways <= 1000, "--gateways is 1 to 1000");
-        check(engines == null || engines >= 1 && engines <= 5000, "--engines is 1 to 5000");
+        check(engines == null || engines >= 1 && engines <= 5000, "--engine-count is 1 to 5000");
         check(ordering >= 0 && (error == null || error >= 0) && (badMost == null || badMost >= 0),
                 "nothing is below 0");
         check(!sockets || choice == Choice.MODULE, "--sockets plays the module only");
@@ -125,12 +136,21 @@
         Fleet fleet = own ? file.fleet() : Fleet.of(3, engines == null ? 12 : engines);
         return new Job(Words.shards(files), chosen,
                 file != null && !file.tracks().isEmpty() ? file.tracks() : BuiltIn.tracks(chosen),
-                gateways == null ? fleet : fleet.behind(gateways), file == null ? List.of() : file.troubles(), ordering,
-                sortIn, sortMost << 20, loadWanted, scale == null ? plain.scale() : scale,
+                speaking(gateways == null ? fleet : fleet.behind(gateways), file), file == null ? List.of() : file.troubles(), ordering,
+                sortIn, sortMost << 20, loadWanted, scale == null ? plain.scale() : scale, jobs,
                 error == null ? plain.error() : error, badMost == null ? plain.badMost() : badMost,
                 seed == null ? plain.seed() : seed, choice.name().toLowerCase(Locale.ROOT), modules());
     }
 
+    private Fleet speaking(Fleet fleet, OperatorFile file) {
+        return switch (speech) {
+            case H2 -> fleet.overHttp2(kind -> true);
+            case MIXED -> fleet.overHttp2(kind -> fleet.kindNamed(kind.name()) % 2 == 1);
+            default -> file == null || file.http2() == null ? fleet
+                    : fleet.overHttp2(kind -> file.http2().all() || file.http2().kinds().contains(kind.name()));
+        };
+    }
+
     private SteeringFactory modules() {
         return switch (choice) {
             case MODULE -> Policy::new;
--- a/tools/src/main/java/tillerlink/cli/ServeCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ServeCommand.java
@@ -12,15 +12,16 @@
 @Command(name = "serve", mixinStandardHelpOptions = true,
         description = "Serve as one gateway on sockets, as the file that EDGE_CONFIG names tells it.")
 final class ServeCommand implements Callable<Integer> {
-    @Option(names = "--operator", paramLabel = "FILE", description = "the operator's file; its log part is used")
+    @Option(names = "--operator", paramLabel = "FILE", description = "the operator's file; its parts log and http2 are used")
     private Path operator;
 
     @Override
     public Integer call() throws Exception {
-        if (operator != null) {
-            Logs.set(OperatorFile.read(operator).log());
+        OperatorFile file = operator == null ? null : OperatorFile.read(operator);
+        if (file != null) {
+            Logs.set(file.log());
         }
-        new Node().serve(System.getenv(), Policy::new);
+        new Node().serve(System.getenv(), Policy::new, file == null ? null : file.http2());
         return 0;
     }
 }
--- a/tools/src/main/java/tillerlink/emulator/EmulatedEngine.java
+++ b/tools/src/main/java/tillerlink/emulator/EmulatedEngine.java
@@ -12,8 +12,8 @@
 import tillerlink.net.state.Break;
 import tillerlink.standin.EngineCommands.Command;
 import tillerlink.standin.EngineCommands;
-import tillerlink.standin.EngineWords;
 import tillerlink.standin.Results;
+import tillerlink.standin.Says;
 
 /**
  * One engine process: it runs what it is sent on shared cores, tells now and then how far it is, keeps pages, refuses
@@ -128,10 +128,10 @@
                 }
             }
             case TURN -> link.say(results.containsKey(command.id())
-                    ? EngineWords.batch(command.id(), command.page(), Results.page(command.id(), command.page()))
-                    : EngineWords.error(command.id()));
+                    ? Says.batch(command.id(), command.page(), Results.page(command.id(), command.page()))
+                    : Says.error(command.id()));
             case SHUT -> results.remove(command.id());
-            default -> link.say(EngineWords.yes(command.id()));
+            default -> link.say(Says.yes(command.id()));
         }
     }
 
@@ -150,11 +150,11 @@
     private void want(Peer link, Command command) {
         World.Job job = world.job(command.id());
         if (draining || cores.running() >= sessionsMost) {
-            link.say(EngineWords.refused(command.id()));
+            link.say(Says.refused(command.id()));
             return;
         }
         if (job == null) {
-            link.say(EngineWords.error(command.id()));
+            link.say(Says.error(command.id()));
             return;
         }
         double work = job.work();
@@ -191,8 +191,8 @@
             cores.advance(world.now());
             double missing = cores.megabytesMissing();
             double share = Math.rint(cores.shareDone(query.load) * 1000) / 1000;
-            query.link.say(missing > 0 ? EngineWords.progress(query.id, "missing", Math.rint(missing))
-                    : EngineWords.progress(query.id, "frac", share));
+            query.link.say(missing > 0 ? Says.progress(query.id, "missing", Math.rint(missing))
+                    : Says.progress(query.id, "frac", share));
         }
         world.timeline.at(world.now() + world.fleet.notesEvery(), () -> note(query));
     }
@@ -227,10 +227,10 @@
             return;
         }
         int pages = Results.pages(query.id);
-        if (pages > 1) {
+        if (pages > 1 || world.fleet.kinds().get(spec.kind()).http2()) {
             keep(query.id);
         }
-        query.link.say(EngineWords.ok(query.id, pages, Results.page(query.id, 0)));
+        query.link.say(Says.ok(query.id, pages, Results.page(query.id, 0)));
     }
 
     private void keep(String id) {
--- a/tools/src/main/java/tillerlink/emulator/HopWatch.java
+++ b/tools/src/main/java/tillerlink/emulator/HopWatch.java
@@ -1,10 +1,11 @@
 package tillerlink.emulator;
 
-import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 import tillerlink.audit.Auditor;
 import tillerlink.standin.EngineCommands.Command;
+import tillerlink.standin.Says;
 
 /** Tells the auditor of the hops on one connection, from what crosses it. */
 public final class HopWatch {
@@ -37,20 +38,25 @@
         }
     }
 
-    /** The engine says something, one word; what ends a hop is taken as the gateway is about to learn it. */
-    public void comesBack(byte[] bytes) {
-        int space = 0;
-        while (bytes[space] != ' ') {
-            space++;
-        }
-        String id = new String(bytes, 0, space, StandardCharsets.ISO_8859_1);
-        switch (bytes[space + 1]) {
-            case 'r' -> over(id, true);
-            case 'o', 'e' -> over(id, false);
+    /** The engine says something; what ends a hop is taken as the gateway is about to learn it. */
+    public void comesBack(Says what) {
+        switch (what.word()) {
+            case REFUSED -> over(what.id(), true);
+            case OK, ERROR -> over(what.id(), false);
             default -> { }
         }
     }
 
+    /** The engine says, by other means than an answer, that a hop never ran. */
+    public void disowned(String id) {
+        over(id, true);
+    }
+
+    /** The same for those of which a test holds. */
+    public void disowned(Predicate<String> which) {
+        hops.stream().filter(which).toList().forEach(this::disowned);
+    }
+
     /** The connection is over. */
     public void ended(boolean provesIdle) {
         Set.copyOf(hops).stream().sorted().forEach(id -> over(id, provesIdle));
--- a/tools/src/main/java/tillerlink/emulator/Link.java
+++ b/tools/src/main/java/tillerlink/emulator/Link.java
@@ -1,12 +1,18 @@
 package tillerlink.emulator;
 
+import java.util.Arrays;
+import java.util.List;
+import tillerlink.fleet.Kind;
 import tillerlink.net.state.Break;
 import tillerlink.net.state.Pipe;
-import tillerlink.standin.EngineCommands;
 import tillerlink.standin.EngineCommands.Command;
+import tillerlink.standin.EngineSide;
+import tillerlink.standin.Says;
 
 /** A connection from a gateway to an engine: bytes take a while, in order; a machine that is silent swallows them. */
 final class Link implements Pipe, Peer {
+    private static final int LATE_MOST = 200;
+
     private final World world;
     private final Seat seat;
     private final int life;
@@ -14,11 +20,16 @@
     private final EmulatedEngine engine;
     private final long delay;
     private final HopWatch hops;
-    private final EngineCommands reader = new EngineCommands();
+    private final EngineSide side;
     /** What goes out at the gateway: the same reader as at the other end. */
-    private final EngineCommands outgoing = new EngineCommands();
+    private final EngineSide outgoing;
     private boolean up;
     private boolean over;
+    /** Bytes were swallowed on the way: what follows makes no sense any more. */
+    private boolean lost;
+    /** When the last that is on its way arrives, each way: nothing overtakes it. */
+    private long outAt;
+    private long inAt;
 
     Link(World world, Seat seat, Owner owner, EmulatedEngine engine, long delay) {
         this.world = world;
@@ -27,6 +38,9 @@
         this.engine = engine;
         this.delay = delay;
         life = seat.life();
+        Kind kind = engine == null ? null : world.fleet.kinds().get(engine.spec.kind());
+        side = kind == null ? new EngineSide.Lines() : world.sides.apply(engine.spec);
+        outgoing = kind == null ? new EngineSide.Lines() : kind.side();
         hops = new HopWatch(world.auditor, seat.place, engine == null ? "?" : engine.spec.name());
         world.timeline.at(world.now() + 2 * delay, this::comeUp);
     }
@@ -41,6 +55,7 @@
             up = true;
             engine.connected(this);
             seat.post(life, owner::opened);
+            travel(side.owed());
         }
     }
 
@@ -51,30 +66,69 @@
             hops.goesOut(world.now(), command);
         }
         seat.post(life, owner::written);
-        world.timeline.at(world.now() + delay, () -> arrive(bytes));
+        for (byte[] part : parts(bytes)) {
+            outAt = Math.max(outAt, world.now() + delay + late());
+            world.timeline.at(outAt, () -> arrive(part));
+        }
+    }
+
+    private long late() {
+        return world.mischief == null ? 0 : world.mischief.nextInt(LATE_MOST);
+    }
+
+    private List<byte[]> parts(byte[] bytes) {
+        if (world.mischief == null || bytes.length < 2) {
+            return List.of(bytes);
+        }
+        int split = 1 + world.mischief.nextInt(bytes.length - 1);
+        return List.of(Arrays.copyOf(bytes, split), Arrays.copyOfRange(bytes, split, bytes.length));
     }
 
     private void arrive(byte[] bytes) {
-        if (over || engine.isSilent()) {
+        if (over) {
+            return;
+        }
+        if (engine.isSilent()) {
+            lost = true;
             return;
         }
-        reader.feed(bytes);
-        for (Command command = reader.next(); command != null; command = reader.next()) {
-            engine.heard(this, command);
+        if (lost) {
+            cut(Break.RESET);
+            return;
         }
+        side.feed(bytes);
+        try {
+            for (Command command = side.next(); command != null; command = side.next()) {
+                engine.heard(this, command);
+            }
+        } catch (IllegalArgumentException e) {
+            cut(Break.CLOSED_BY_PEER);
+        }
+        side.disowned().forEach(hops::disowned);
+        travel(side.owed());
     }
 
-    /** It reaches the gateway a while later. */
-    @Override
-    public void say(byte[] bytes) {
-        world.timeline.at(world.now() + delay, () -> {
-            if (!over) {
-                hops.comesBack(bytes);
+    private void travel(byte[] bytes) {
+        for (byte[] part : bytes.length == 0 ? List.<byte[]>of() : parts(bytes)) {
+            inAt = Math.max(inAt, world.now() + delay + late());
+            world.timeline.at(inAt, () -> {
+                hops.disowned(id -> side.leftBehind(outgoing, id));
                 seat.post(life, () -> {
                     if (!over) {
-                        owner.fed(bytes);
+                        owner.fed(part);
                     }
                 });
+            });
+        }
+    }
+
+    /** It reaches the gateway a while later. */
+    @Override
+    public void say(Says what) {
+        travel(side.say(what));
+        world.timeline.at(Math.max(inAt, world.now() + delay), () -> {
+            if (!over) {
+                hops.comesBack(what);
             }
         });
     }
@@ -83,7 +137,7 @@
     @Override
     public void cut(Break how) {
         if (!over) {
-            world.timeline.at(world.now() + delay, () -> {
+            world.timeline.at(Math.max(inAt, world.now() + delay), () -> {
                 if (!over) {
                     end(how == Break.REFUSED);
                     seat.post(life, () -> owner.ended(how));
@@ -95,6 +149,7 @@
     private void end(boolean provesIdle) {
         over = true;
         seat.forget(this);
+        hops.disowned(id -> side.leftBehind(outgoing, id));
         hops.ended(provesIdle);
         if (up) {
             engine.disconnected(this);
--- a/tools/src/main/java/tillerlink/emulator/Peer.java
+++ b/tools/src/main/java/tillerlink/emulator/Peer.java
@@ -1,10 +1,11 @@
 package tillerlink.emulator;
 
 import tillerlink.net.state.Break;
+import tillerlink.standin.Says;
 
 /** A connection as an engine sees it. */
 public interface Peer {
-    void say(byte[] bytes);
+    void say(Says what);
 
     /** The engine's process breaks it. */
     void cut(Break how);
--- a/tools/src/main/java/tillerlink/emulator/Seat.java
+++ b/tools/src/main/java/tillerlink/emulator/Seat.java
@@ -49,8 +49,8 @@
         turnDue = false;
         armedFor = Long.MAX_VALUE;
         told(world.list());
-        gateway = new Gateway(world.fleet.assignment(place, seeds.nextLong(), world.tracks, world.news()), modules, this,
-                world.now(), BYTES_MOST);
+        gateway = new Gateway(world.fleet.assignment(place, seeds.nextLong(), world.tracks, world.news()), modules,
+                this, world.now(), BYTES_MOST, world.fleet.carriers());
         post(() -> { });
     }
 
@@ -75,6 +75,11 @@
         return life;
     }
 
+    /** Its connections to engines, as these see them. */
+    public List<Peer> connections() {
+        return List.copyOf(links);
+    }
+
     void forget(Link link) {
         links.remove(link);
     }
--- a/tools/src/main/java/tillerlink/emulator/World.java
+++ b/tools/src/main/java/tillerlink/emulator/World.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.IntConsumer;
 import tillerlink.audit.Auditor;
 import tillerlink.fleet.Fleet;
@@ -17,6 +19,7 @@
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.net.wire.EngineNews;
 import tillerlink.port.SteeringFactory;
+import tillerlink.standin.EngineSide;
 import tillerlink.standin.NameAnswer;
 import tillerlink.workload.Track;
 
@@ -37,6 +40,10 @@
     public final Timeline timeline;
     public final Auditor auditor;
     public final List<Seat> seats = new ArrayList<>();
+    /** How engines speak on a new connection; tests put in others that misbehave. */
+    public Function<Spec, EngineSide> sides;
+    /** Where bytes are split and how long they take beyond the usual; null for whole and no longer. */
+    public Random mischief;
     final Receipts receipts;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<InetSocketAddress, EmulatedEngine> byAddress = new HashMap<>();
@@ -55,6 +62,7 @@
     /** Engines and their list; who the gateways are is seen to by others. */
     public World(Fleet fleet, List<Track> tracks, Auditor auditor, long start) {
         this.fleet = fleet;
+        sides = spec -> fleet.kinds().get(spec.kind()).side();
         this.tracks = tracks;
         this.auditor = auditor;
         this.start = start;
--- a/tools/src/main/java/tillerlink/fleet/Fleet.java
+++ b/tools/src/main/java/tillerlink/fleet/Fleet.java
@@ -5,7 +5,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import tillerlink.model.Engine;
+import tillerlink.net.http2.H2Carriers;
+import tillerlink.net.state.Carrier;
 import tillerlink.net.wire.Assignment;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.net.wire.EngineNews;
@@ -45,7 +49,7 @@
         for (int i = 0; i < engines; i++) {
             specs.add(new Spec("e" + (i + 1), i % 3 == 2 ? 1 : 0, i / 3 % 3));
         }
-        return new Fleet(gateways, SEATS, List.of(new Kind("std-8", 8, 16_384), new Kind("big-16", 16, 32_768)),
+        return new Fleet(gateways, SEATS, List.of(new Kind("std-8", 8, 16_384, false), new Kind("big-16", 16, 32_768, false)),
                 List.of("east", "middle", "west"), specs, 2 * SECOND, 0.3, 13 * SECOND, 2.5, 3 * SECOND, SECOND / 2,
                 3, 0.1, 10 * SECOND, 4, SECOND);
     }
@@ -56,6 +60,19 @@
                 fall, drainGrace, extraFloor, furtherRatio, budgetSpan, attemptsMost, comeBack);
     }
 
+    /** The same fleet with engines of those kinds reached over HTTP/2, the others over engine lines. */
+    public Fleet overHttp2(Predicate<Kind> which) {
+        return new Fleet(gateways, sockets, kinds.stream().map(kind -> new Kind(kind.name(), kind.cores(),
+                kind.memory(), which.test(kind))).toList(), zones, engines, notesEvery, startCapacity, warmWithin,
+                fallMultiple, fall, drainGrace, extraFloor, furtherRatio, budgetSpan, attemptsMost, comeBack);
+    }
+
+    /** How gateways reach its engines. */
+    public Carrier.Factory carriers() {
+        return new H2Carriers(false, kinds.stream().filter(Kind::http2).map(Kind::name)
+                .collect(Collectors.toUnmodifiableSet()), 0);
+    }
+
     public double cores() {
         return engines.stream().mapToInt(engine -> kinds.get(engine.kind()).cores()).sum();
     }
--- a/tools/src/main/java/tillerlink/operator/OperatorFile.java
+++ b/tools/src/main/java/tillerlink/operator/OperatorFile.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import tillerlink.fleet.Fleet;
 import tillerlink.fleet.Kind;
 import tillerlink.fleet.Spec;
 import tillerlink.fleet.Trouble;
 import tillerlink.model.Effect;
+import tillerlink.net.http2.H2Carriers;
 import tillerlink.trace.Layout;
 import tillerlink.workload.Plan;
 import tillerlink.workload.Track;
@@ -18,7 +21,7 @@
  *
  * @param tracks in the order of the file: the first whose tests a row passes takes it
  */
-public record OperatorFile(Log log, List<Layout> layouts, Fleet fleet, List<Track> tracks, List<Trouble> troubles,
+public record OperatorFile(Log log, H2Carriers http2, List<Layout> layouts, Fleet fleet, List<Track> tracks, List<Trouble> troubles,
                            Replaying replay) {
     /** How log lines look. */
     public record Log(Form form, Level level) {
@@ -59,7 +62,7 @@
     public static OperatorFile read(Path path) throws IOException {
         List<Fault> faults = new ArrayList<>();
         Section all = HclReader.read(path, faults);
-        OperatorFile file = new OperatorFile(log(all.one("log")), layouts(all), fleet(all.one("fleet")),
+        OperatorFile file = new OperatorFile(log(all.one("log")), http2(all.one("http2")), layouts(all), fleet(all.one("fleet")),
                 tracks(all), troubles(all), replay(all.one("replay")));
         all.close();
         file.checkNames(all);
@@ -79,6 +82,21 @@
         return log;
     }
 
+    /** Which engines are reached over HTTP/2. */
+    private static H2Carriers http2(Section section) {
+        if (section == null) {
+            return null;
+        }
+        H2Carriers carriers = new H2Carriers(section.flag("all", false),
+                Set.copyOf(new LinkedHashSet<>(section.texts("kinds", false))),
+                (int) section.whole("streams_most", 1, 100_000, 0));
+        if (!carriers.all() && carriers.kinds().isEmpty()) {
+            section.fault("http2 wants kinds, or all = true");
+        }
+        section.close();
+        return carriers;
+    }
+
     // ---- layouts ----
 
     private static List<Layout> layouts(Section all) {
@@ -186,7 +204,7 @@
         List<Kind> kinds = new ArrayList<>();
         for (Section kind : section.all("kind")) {
             kinds.add(new Kind(kind.label(), (int) kind.number("cores", 1, 1024, NONE),
-                    kind.number("memory_mb", 1, 1e9, NONE)));
+                    kind.number("memory_mb", 1, 1e9, NONE), false));
             kind.close();
         }
         List<String> zones = section.texts("zones", true);
--- a/tools/src/main/java/tillerlink/operator/Section.java
+++ b/tools/src/main/java/tillerlink/operator/Section.java
@@ -46,7 +46,8 @@
 
     @Override
     public String toString() {
-        return type.isEmpty() ? "the file" : type + (labels.isEmpty() ? "" : " \"" + String.join("\" \"", labels) + "\"");
+        return type.isEmpty() ? "the file"
+                : type + (labels.isEmpty() ? "" : " \"" + String.join("\" \"", labels) + "\"");
     }
 
     void fault(String what) {
--- a/tools/src/main/java/tillerlink/replay/Arrivals.java
+++ b/tools/src/main/java/tillerlink/replay/Arrivals.java
@@ -63,7 +63,8 @@
             throw new BadTraceException("the trace has no row of use");
         }
         try {
-            plan = Plan.of(survey, job.tracks(), job.fleet().cores(), job.load(), job.scale(), MEGABYTES_PER_SECOND);
+            plan = Plan.of(survey, job.tracks(), job.fleet().cores(), job.load(), job.scale(), job.jobs(),
+                    MEGABYTES_PER_SECOND);
         } catch (IllegalArgumentException e) {
             throw new BadTraceException(e.getMessage());
         }
--- a/tools/src/main/java/tillerlink/replay/Page.java
+++ b/tools/src/main/java/tillerlink/replay/Page.java
@@ -17,7 +17,8 @@
     private static final int LEFT = 56;
     private static final int BELOW = 24;
     private static final double[] PERCENTILES = {0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9};
-    private static final String[] COLOURS = {"#9aa4b2", "#2b6cb0", "#dd6b20", "#c53030", "#6b46c1", "#2f855a", "#1a202c"};
+    private static final String[] COLOURS = {"#9aa4b2", "#2b6cb0", "#dd6b20", "#c53030", "#6b46c1", "#2f855a",
+        "#1a202c"};
 
     /** A line of a plot: one figure for each bin. */
     private record Line(String name, double[] values) {
@@ -54,7 +55,8 @@
                 figures.worstTrack(), run.job().fleet().gateways(), run.job().fleet().engines().size(),
                 run.job().fleet().cores(), run.lasted() / (double) Figures.SECOND);
         for (Breach breach : run.auditor().breaches()) {
-            out.printf("<p class=\"bad\">Rule broken: %s s, %s</p>", run.sinceStart(breach.at()), escaped(breach.what()));
+            out.printf("<p class=\"bad\">Rule broken: %s s, %s</p>", run.sinceStart(breach.at()),
+                    escaped(breach.what()));
         }
         table();
         bySecond();
@@ -143,9 +145,9 @@
         out.printf("<h2>%s</h2><svg width=\"%d\" height=\"%d\">", title, WIDE, HIGH + BELOW);
         for (int i = 0; i <= 4; i++) {
             double y = HIGH - i * (HIGH - 10) / 4.0;
-            out.printf(Locale.ROOT, "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#e2e8f0\"/><text x=\"%d\""
-                    + " y=\"%.1f\" font-size=\"11\" text-anchor=\"end\">%.0f</text>", LEFT, WIDE, y, y, LEFT - 6, y + 4,
-                    most * i / 4);
+            out.printf(Locale.ROOT, "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#e2e8f0\"/>"
+                    + "<text x=\"%d\" y=\"%.1f\" font-size=\"11\" text-anchor=\"end\">%.0f</text>", LEFT, WIDE, y, y,
+                    LEFT - 6, y + 4, most * i / 4);
         }
         for (int i = 0; i < lines.size(); i++) {
             Line line = lines.get(i);
@@ -159,8 +161,8 @@
         }
         if (end > 0) {
             out.printf(Locale.ROOT, "<text x=\"%d\" y=\"%d\" font-size=\"11\">0 %s</text><text x=\"%d\" y=\"%d\" "
-                    + "font-size=\"11\" text-anchor=\"end\">%.0f %s</text>", LEFT, HIGH + 16, unit, WIDE, HIGH + 16, end,
-                    unit);
+                    + "font-size=\"11\" text-anchor=\"end\">%.0f %s</text>", LEFT, HIGH + 16, unit, WIDE, HIGH + 16,
+                    end, unit);
         }
         out.println("</svg><p>");
         for (int i = 0; i < lines.size(); i++) {
--- a/tools/src/main/java/tillerlink/replay/SeatLines.java
+++ b/tools/src/main/java/tillerlink/replay/SeatLines.java
@@ -6,12 +6,12 @@
 import tillerlink.net.state.Pipe;
 
 /** Connections of clients to gateways in memory. */
-final class SeatLines implements Lines {
+public final class SeatLines implements Lines {
     private static final long DELAY = 2;
 
     private final World world;
 
-    SeatLines(World world) {
+    public SeatLines(World world) {
         this.world = world;
     }
 
--- a/tools/src/main/java/tillerlink/rig/EngineSockets.java
+++ b/tools/src/main/java/tillerlink/rig/EngineSockets.java
@@ -22,8 +22,9 @@
 import tillerlink.emulator.Peer;
 import tillerlink.emulator.World;
 import tillerlink.net.state.Break;
-import tillerlink.standin.EngineCommands;
 import tillerlink.standin.EngineCommands.Command;
+import tillerlink.standin.EngineSide;
+import tillerlink.standin.Says;
 
 /**
  * Stand-in engines on loopback: the emulated ones, behind sockets. Each gateway reaches each engine at a port of its
@@ -97,13 +98,14 @@
     private final class SocketPeer implements Peer {
         private final Door door;
         private final IoSession session;
-        private final EngineCommands reader = new EngineCommands();
+        private final EngineSide side;
         private final HopWatch hops;
         private boolean over;
 
         SocketPeer(Door door, IoSession session) {
             this.door = door;
             this.session = session;
+            side = world.fleet.kinds().get(door.engine.spec.kind()).side();
             hops = new HopWatch(world.auditor, door.gateway, door.engine.spec.name());
         }
 
@@ -112,6 +114,7 @@
                 cut(Break.RESET);
             } else {
                 door.engine.connected(this);
+                write(side.owed());
             }
         }
 
@@ -120,21 +123,29 @@
                 return;
             }
             try {
-                reader.feed(bytes);
-                for (Command command = reader.next(); command != null; command = reader.next()) {
+                side.feed(bytes);
+                for (Command command = side.next(); command != null; command = side.next()) {
                     hops.goesOut(world.now(), command);
                     door.engine.heard(this, command);
                 }
+                side.disowned().forEach(hops::disowned);
+                write(side.owed());
             } catch (IllegalArgumentException e) {
                 cut(Break.CLOSED_BY_PEER);
             }
         }
 
+        private void write(byte[] bytes) {
+            if (bytes.length > 0) {
+                session.write(IoBuffer.wrap(bytes));
+            }
+        }
+
         @Override
-        public void say(byte[] bytes) {
+        public void say(Says what) {
             if (!over) {
-                hops.comesBack(bytes);
-                session.write(IoBuffer.wrap(bytes));
+                hops.comesBack(what);
+                write(side.say(what));
             }
         }
 
--- a/tools/src/main/java/tillerlink/rig/GatewayProcess.java
+++ b/tools/src/main/java/tillerlink/rig/GatewayProcess.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -24,9 +25,12 @@
     private final Path folder;
     private final String name;
     private final InetSocketAddress listen;
+    private final List<String> http2;
     private Process process;
 
-    GatewayProcess(Path folder, String name, InetSocketAddress listen) {
+    /** @param http2 the kinds of engines that are reached over HTTP/2 */
+    GatewayProcess(Path folder, String name, InetSocketAddress listen, List<String> http2) {
+        this.http2 = http2;
         this.folder = folder;
         this.name = name;
         this.listen = listen;
@@ -50,15 +54,23 @@
             write(json, settings);
             json.writeEndObject();
         }
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xms64m", "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), "tillerlink.Main", "serve");
+                System.getProperty("java.class.path")));
+        line.addAll(http2.isEmpty() ? List.of("tillerlink.Main", "serve")
+                : List.of("tillerlink.cli.Tillerlink", "serve", "--operator", operatorFile().toString()));
+        ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().put("EDGE_CONFIG", file.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         process = builder.start();
     }
 
+    private Path operatorFile() throws IOException {
+        return Files.writeString(folder.resolve(name + ".hcl"),
+                "http2 {\n  kinds = [\"" + String.join("\", \"", http2) + "\"]\n}\n");
+    }
+
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/tools/src/main/java/tillerlink/rig/Rig.java
+++ b/tools/src/main/java/tillerlink/rig/Rig.java
@@ -15,6 +15,7 @@
 import org.HdrHistogram.Histogram;
 import tillerlink.audit.Auditor;
 import tillerlink.emulator.World;
+import tillerlink.fleet.Kind;
 import tillerlink.model.Engine;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.replay.Arrivals;
@@ -72,7 +73,8 @@
             try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 at[i] = (InetSocketAddress) free.getLocalSocketAddress();
             }
-            gateways[i] = new GatewayProcess(folder, "n" + i, at[i]);
+            gateways[i] = new GatewayProcess(folder, "n" + i, at[i], job.fleet().kinds().stream()
+                    .filter(Kind::http2).map(Kind::name).toList());
         }
         clients = new ClientSockets(at, queue::add);
     }
--- a/tools/src/main/java/tillerlink/trace/Reorder.java
+++ b/tools/src/main/java/tillerlink/trace/Reorder.java
@@ -32,7 +32,7 @@
     private boolean ended;
     private long early;
 
-    /** @param window in tenths of a millisecond of the trace; 0 takes the file's order, and passes over what goes back */
+    /** @param window in tenths of a millisecond of the trace */
     public Reorder(Tasks source, long window, int most, Tally tally) {
         this.source = source;
         this.tally = tally;
--- a/tools/src/main/java/tillerlink/trace/Row.java
+++ b/tools/src/main/java/tillerlink/trace/Row.java
@@ -61,7 +61,8 @@
         if (record.getFieldCount() > COLUMNS_MOST) {
             return Skip.TOO_MANY_COLUMNS;
         }
-        byte[][] parts = record.getFields().stream().map(f -> f.getBytes(StandardCharsets.UTF_8)).toArray(byte[][]::new);
+        byte[][] parts = record.getFields().stream().map(field -> field.getBytes(StandardCharsets.UTF_8))
+                .toArray(byte[][]::new);
         bytes = new byte[Arrays.stream(parts).mapToInt(part -> part.length + 1).sum()];
         int at = 0;
         for (count = 0; count < parts.length; count++) {
--- a/tools/src/main/java/tillerlink/trace/TaskReader.java
+++ b/tools/src/main/java/tillerlink/trace/TaskReader.java
@@ -173,8 +173,8 @@
     private Task whole() {
         long start = (long) time(columns.start);
         double copies = columns.copies < 0 ? 1 : row.number(columns.copies);
-        return new Task(start, (long) time(columns.end) - start, cores() * (copies >= 1 ? copies : 1), memory(), row.hash(columns.job),
-                owner(), number++, columns.kind(row), 1);
+        return new Task(start, (long) time(columns.end) - start, cores() * (copies >= 1 ? copies : 1), memory(),
+                row.hash(columns.job), owner(), number++, columns.kind(row), 1);
     }
 
     /** Keeps a start, or gives the task that this end completes. */
--- a/tools/src/main/java/tillerlink/trace/TraceMaker.java
+++ b/tools/src/main/java/tillerlink/trace/TraceMaker.java
@@ -13,9 +13,9 @@
 import java.util.Random;
 
 /**
- * Makes a trace in a published layout: jobs come in bursts, spans are log-normal with a heavy tail, a few users own most
- * jobs. Some rows are spoilt and some stand out of order, and it tells how many of each it wrote. Nothing of a real
- * trace is in it.
+ * Makes a trace in a published layout: jobs come in bursts, spans are log-normal with a heavy tail, a few users own
+ * most jobs. Some rows are spoilt and some stand out of order, and it tells how many of each it wrote. Nothing of a
+ * real trace is in it.
  */
 public final class TraceMaker implements Closeable {
     private static final double SPAN_SIGMA = 1.2;
@@ -107,6 +107,8 @@
 
     private void task(long job, int index, int user, int importance, long start, long end) {
         tasks++;
+        long from = (long) (start / SECOND);
+        long to = (long) Math.ceil(end / SECOND);
         if (layout == Layout.GOOGLE_2011) {
             double cpu = 0.01 + 0.05 * random.nextInt(5);
             String tail = ",u" + user + "," + importance % 4 + "," + importance + "," + decimal(cpu) + ","
@@ -115,16 +117,14 @@
             add(start, start, start * 100 + head + "1" + tail);
             add(end, end, end * 100 + head + "4" + tail);
         } else if (layout == Layout.ALIBABA_2018) {
-            add(start, (long) (start / SECOND), "task_" + index + ",1,j_" + job + "," + (1 + importance) + ",Terminated,"
-                    + (long) (start / SECOND) + "," + (long) Math.ceil(end / SECOND) + "," + 50 * (1 + random.nextInt(4))
-                    + "," + decimal(0.1 + random.nextDouble()));
+            add(start, from, "task_" + index + ",1,j_" + job + "," + (1 + importance) + ",Terminated," + from + "," + to
+                    + "," + 50 * (1 + random.nextInt(4)) + "," + decimal(0.1 + random.nextDouble()));
         } else {
             String category = importance == 0 ? "Delay-insensitive" : importance < 5 ? "Interactive" : "Unknown";
             String[] cores = {"2", "4", "8", ">24"};
             int size = (int) (cores.length * Math.pow(random.nextDouble(), 4));
-            add(start, (long) (start / SECOND), "vm" + job + "/" + index + ",sub" + user + ",dep" + job + "," + (long) (start / SECOND) + ","
-                    + (long) Math.ceil(end / SECOND) + ",90.5,12.25,60.0," + category + "," + cores[size] + ","
-                    + (4 << size));
+            add(start, from, "vm" + job + "/" + index + ",sub" + user + ",dep" + job + "," + from + "," + to
+                    + ",90.5,12.25,60.0," + category + "," + cores[size] + "," + (4 << size));
         }
     }
 
--- a/tools/src/main/java/tillerlink/workload/BuiltIn.java
+++ b/tools/src/main/java/tillerlink/workload/BuiltIn.java
@@ -13,7 +13,7 @@
     private BuiltIn() {
     }
 
-    /** Of four kinds: short pure looks, wide pure sheets for one kind of engine, receipted loads, effectful bookings. */
+    /** Four: short pure looks, wide pure sheets for one kind of engine, receipted loads, effectful bookings. */
     public static List<Track> tracks(Layout layout) {
         return switch (layout.name()) {
             case "google-2011" -> of(List.of(Test.between("priority", 9, ANY), Test.between("scheduling_class", 0, 1)),
--- a/tools/src/main/java/tillerlink/workload/Plan.java
+++ b/tools/src/main/java/tillerlink/workload/Plan.java
@@ -39,10 +39,11 @@
 
     /**
      * @param load      the share of the fleet's cores that the work is to take
+     * @param jobs      the share of jobs that is in when both give way; 0 shares it evenly
      * @param memoryPer megabytes for each second of work on one core
      * @throws IllegalArgumentException if the load can't be reached so; the message says why
      */
-    public static Plan of(Survey survey, List<Track> tracks, double cores, double load, Scale scale,
+    public static Plan of(Survey survey, List<Track> tracks, double cores, double load, Scale scale, double jobs,
                           double memoryPer) {
         double[] factors = new double[tracks.size()];
         double work = 0;
@@ -73,7 +74,7 @@
                 }
             }
             default -> {
-                share = Math.min(1, needed > 1 ? 1 : Math.pow(needed, EVEN));
+                share = jobs > 0 ? jobs : needed > 1 ? 1 : Math.pow(needed, EVEN);
                 press = needed / share;
             }
         }
--- a/tools/src/test/java/tillerlink/replay/ReplayTest.java
+++ b/tools/src/test/java/tillerlink/replay/ReplayTest.java
@@ -50,7 +50,7 @@
 
     private static Job job(Layout layout, Path trace, Fleet fleet, double load, SteeringFactory modules, Trouble... troubles) {
         return new Job(List.of(Shard.of(trace)), layout, BuiltIn.tracks(layout), fleet, List.of(troubles), 3600 * SECOND, null, 0,
-                load, Plan.Scale.TIME, 0.4, 0.1, 3, "test", modules);
+                load, Plan.Scale.TIME, 0, 0.4, 0.1, 3, "test", modules);
     }
 
     private static Played play(Job job) throws IOException {
--- a/tools/src/test/java/tillerlink/standin/StandInsTest.java
+++ b/tools/src/test/java/tillerlink/standin/StandInsTest.java
@@ -69,8 +69,8 @@
     @Test
     void wordsOfEnginesAreThoseOfTheProtocol() {
         EngineReader reader = new EngineReader();
-        reader.feed(joined(EngineWords.ok("a", 2, Results.page("a", 0)), EngineWords.batch("a", 1, Results.page("a", 1)),
-                EngineWords.refused("a"), EngineWords.error("a"), EngineWords.yes("0"), EngineWords.progress("a", "frac", 0.25)));
+        reader.feed(joined(Says.ok("a", 2, Results.page("a", 0)).line(), Says.batch("a", 1, Results.page("a", 1)).line(),
+                Says.refused("a").line(), Says.error("a").line(), Says.yes("0").line(), Says.progress("a", "frac", 0.25).line()));
         StringBuilder heard = new StringBuilder();
         for (var answer = reader.next(); answer != null; answer = reader.next()) {
             heard.append(answer.word()).append(' ').append(answer.number()).append(' ').append(answer.level()).append('|');
