--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -33,6 +33,8 @@
     private long writesDone;
     /** Takes no new hops; ends once those on it have. */
     private boolean retired;
+    /** Closed because it held back what must not go out any more. */
+    private boolean dropped;
     private long heardAt;
     private long idleSince;
     /** When it was asked whether it works and has not said anything since; 0 if it was not. */
@@ -91,8 +93,11 @@
             write(EngineCommand.there(TAG));
         } else if (midwaySince > 0 && now >= midwaySince + connectMost) {
             end(Break.GARBLED);
-        } else if (!site.ready() && holdsBack(now - connectMost / 2)) {
-            end(Break.HELD_BACK);
+        } else if (!dropped && !site.ready() && holdsBack(now - connectMost / 2)) {
+            // What went out of it is known once the connection has ended.
+            dropped = true;
+            retired = true;
+            pipe.drop();
         } else if (askedAt > 0 && !silent && now >= askedAt + connectMost / 2) {
             silent = true;
         }
@@ -311,11 +316,19 @@
     /** It went in the middle of an answer: what it bore has run. */
     @Override
     public void ended(Break how) {
-        end(reader.midway() ? Break.GARBLED : how);
+        end(dropped ? Break.HELD_BACK : reader.midway() ? Break.GARBLED : how, true);
     }
 
-    /** Ends the connection; each hop on it ends as that means for it. */
+    /** Ends the connection from here. */
     void end(Break how) {
+        end(how, false);
+    }
+
+    /**
+     * Ends the connection; each hop on it ends as that means for it. Only once the connection has ended by itself is it
+     * known what was written: while it is open, a hop that was handed over may be on its way though nobody said so yet.
+     */
+    private void end(Break how, boolean exact) {
         if (over) {
             return;
         }
@@ -328,7 +341,8 @@
         }
         for (Flight flight : List.copyOf(flights.values())) {
             if (how == Break.CLOSED_BY_US || how == Break.SILENT || !carrier.mend(flight)) {
-                gateway.ended(flight, how.outcome(flight.place <= writesDone || flight.pages != null));
+                boolean whole = exact ? flight.place <= writesDone : flight.place != Flight.UNSENT;
+                gateway.ended(flight, how.outcome(whole || flight.pages != null));
             }
         }
         if (how == Break.REFUSED || how == Break.NEVER_UP) {
--- a/http2/src/main/java/tillerlink/net/http2/H2Link.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Link.java
@@ -47,6 +47,9 @@
     private boolean open;
     private boolean over;
     private boolean retired;
+    /** The connection is being ended, with what was written known or not. */
+    private boolean ending;
+    private boolean exact;
     private boolean silent;
     private long writes;
     private long writesDone;
@@ -161,8 +164,13 @@
         return null;
     }
 
+    /**
+     * Whether a request may have come whole to the engine. What the engine says of a stream comes after we heard that it
+     * was written, and so does the connection's own end. Where we end the connection that is not so: what was handed
+     * over may be on its way though nobody said so yet.
+     */
     private boolean whole(Ride ride) {
-        return ride.place <= writesDone;
+        return ending && !exact ? ride.place != Long.MAX_VALUE : ride.place <= writesDone;
     }
 
     /** Gives a hop up; a request of which a part was written may come whole while the reset is on its way. */
@@ -243,6 +251,7 @@
 
     @Override
     public void ended(Break how) {
+        exact = true;
         end(StreamEnd.CUT, how);
     }
 
@@ -404,9 +413,14 @@
             return;
         }
         for (Ride ride : List.copyOf(rides.values())) {
-            boolean held = ride.place == Long.MAX_VALUE || !whole(ride);
-            if (held && !ride.flight.begun() && !site.ready()) {
+            boolean held = !whole(ride) && !ride.flight.begun() && !site.ready();
+            if (held && ride.place == Long.MAX_VALUE) {
                 finish(ride, StreamEnd.WITHDRAWN);
+            } else if (held && now >= ride.flight.hop.sentAt + connectMost / 2) {
+                // What went out of it is known once the connection has ended.
+                retired = true;
+                pipe.drop();
+                return;
             } else if (!connection.isWhole(ride.stream)) {
                 ride.shutSince = ride.shutSince == 0 ? now : ride.shutSince;
                 if (now >= ride.shutSince + connectMost) {
@@ -455,6 +469,7 @@
             return;
         }
         over = true;
+        ending = true;
         carrier.linkEnded(this);
         if (connectionEnd == Break.CLOSED_BY_US || connectionEnd == Break.GARBLED) {
             pipe.close();
--- a/http2/src/main/java/tillerlink/net/http2/StreamEnd.java
+++ b/http2/src/main/java/tillerlink/net/http2/StreamEnd.java
@@ -33,7 +33,7 @@
     MUTE,
     /** The engine's window stayed shut for a body that was not wholly sent. */
     WINDOW_SHUT,
-    /** Its engine was said to drain before the request was wholly sent. */
+    /** Its engine was said to drain before the last byte of the request was handed over. */
     WITHDRAWN,
     /** No connection had room for it in time. */
     NO_ROOM,
--- a/tools/src/main/java/tillerlink/emulator/Seat.java
+++ b/tools/src/main/java/tillerlink/emulator/Seat.java
@@ -61,6 +61,11 @@
         List.copyOf(links).forEach(Link::drop);
     }
 
+    /** Connections to engines that it counts as open or coming up. */
+    public int links() {
+        return gateway.links();
+    }
+
     public boolean isUp() {
         return gateway != null;
     }
@@ -109,6 +114,9 @@
             return;
         }
         turnDue = false;
+        if (world.meter != null) {
+            world.meter.turnBegins();
+        }
         gateway.begin(world.now());
         List<Runnable> events = inbox;
         inbox = spare;
@@ -118,6 +126,9 @@
         events.clear();
         spare = events;
         gateway.settle();
+        if (world.meter != null) {
+            world.meter.turnEnds();
+        }
         world.turns++;
         arm();
     }
--- a/tools/src/main/java/tillerlink/emulator/World.java
+++ b/tools/src/main/java/tillerlink/emulator/World.java
@@ -42,6 +42,8 @@
     public final List<Seat> seats = new ArrayList<>();
     /** How engines speak on a new connection; tests put in others that misbehave. */
     public Function<Spec, EngineSide> sides;
+    /** What gateways cost, where that is measured; else null. */
+    public Meter meter;
     /** Where bytes are split and how long they take beyond the usual; null for whole and no longer. */
     public Random mischief;
     final Receipts receipts;
--- a/tools/src/main/java/tillerlink/replay/Run.java
+++ b/tools/src/main/java/tillerlink/replay/Run.java
@@ -24,7 +24,7 @@
         job.troubles().forEach(world::plan);
         Arrival next = arrivals.next();
         long steps = 0;
-        while (next != null || front.open() > 0) {
+        while (next != null || figures.arrived() < arrivals.arrived() || front.open() > 0) {
             while (next != null && UNIX_START + next.at() <= world.timeline.next()) {
                 Arrival arrival = next;
                 world.timeline.at(UNIX_START + arrival.at(), () -> front.arrive(arrival));
--- a/tools/src/main/java/tillerlink/rig/EngineSockets.java
+++ b/tools/src/main/java/tillerlink/rig/EngineSockets.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import org.apache.mina.core.RuntimeIoException;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
@@ -105,7 +106,7 @@
         SocketPeer(Door door, IoSession session) {
             this.door = door;
             this.session = session;
-            side = world.fleet.kinds().get(door.engine.spec.kind()).side();
+            side = world.sides.apply(door.engine.spec);
             hops = new HopWatch(world.auditor, door.gateway, door.engine.spec.name());
         }
 
@@ -152,7 +153,11 @@
         @Override
         public void cut(Break how) {
             if (how == Break.RESET) {
-                ((SocketSessionConfig) session.getConfig()).setSoLinger(0);
+                try {
+                    ((SocketSessionConfig) session.getConfig()).setSoLinger(0);
+                } catch (RuntimeIoException e) {
+                    // The gateway has closed it meanwhile.
+                }
             }
             session.closeNow();
             ended();
--- a/tools/src/main/java/tillerlink/rig/Rig.java
+++ b/tools/src/main/java/tillerlink/rig/Rig.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.HdrHistogram.Histogram;
 import tillerlink.audit.Auditor;
@@ -81,7 +82,14 @@
 
     /** @param progress told now and then how many have arrived */
     public static Played play(Job job, Arrivals arrivals, LongConsumer progress) throws IOException {
+        return play(job, arrivals, progress, world -> { });
+    }
+
+    /** @param prepared given the engines before any gateway starts, so that some can be made to misbehave */
+    public static Played play(Job job, Arrivals arrivals, LongConsumer progress, Consumer<World> prepared)
+            throws IOException {
         try (Rig rig = new Rig(job)) {
+            prepared.accept(rig.world);
             rig.startGateways();
             return rig.run(arrivals, progress);
         } catch (InterruptedException e) {
@@ -196,7 +204,7 @@
         job.troubles().forEach(world::plan);
         Arrival next = arrivals.next();
         long tellAt = start;
-        while (next != null || front.open() > 0) {
+        while (next != null || figures.arrived() < arrivals.arrived() || front.open() > 0) {
             long now = clock.now();
             while (next != null && start + next.at() <= now + AHEAD) {
                 Arrival arrival = next;
--- a/tools/src/test/java/tillerlink/replay/Http2HistoriesTest.java
+++ b/tools/src/test/java/tillerlink/replay/Http2HistoriesTest.java
@@ -3,12 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.slf4j.LoggerFactory;
 import tillerlink.Policy;
 import tillerlink.audit.Auditor;
@@ -25,7 +29,13 @@
 import tillerlink.standin.EngineSide;
 import tillerlink.standin.H2Side;
 import tillerlink.standin.Says;
+import tillerlink.rig.Rig;
+import tillerlink.trace.Layout;
+import tillerlink.trace.Shard;
+import tillerlink.trace.TraceMaker;
 import tillerlink.workload.Arrival;
+import tillerlink.workload.BuiltIn;
+import tillerlink.workload.Plan;
 import tillerlink.workload.Track;
 
 /**
@@ -293,6 +303,26 @@
         }
     }
 
+    /** The same moods over loopback, with a gateway process: what fails at any frame ends what it must, and no more. */
+    @Test
+    void overSockets(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("trace");
+        try (TraceMaker maker = new TraceMaker(Layout.ALIBABA_2018, 2, 0, 0, Files.newOutputStream(file))) {
+            maker.make(300);
+        }
+        Job job = new Job(List.of(Shard.of(file)), Layout.ALIBABA_2018, BuiltIn.tracks(Layout.ALIBABA_2018),
+                Fleet.of(1, 4).overHttp2(kind -> true), List.of(), 36_000_000, null, 0, 0.3, Plan.Scale.TIME, 0, 0.4, 0.1, 1,
+                "wild", Policy::new);
+        Random random = new Random(9);
+        try (Arrivals arrivals = new Arrivals(job)) {
+            Played played = Rig.play(job, arrivals, arrived -> { }, world -> world.sides = spec -> new Moody(random, Mood.WILD));
+            assertTrue(played.auditor().counts().isEmpty(), played.auditor().breaches().toString());
+            assertTrue(played.figures().addsUp());
+            assertEquals(300, played.figures().arrived());
+            assertTrue(played.figures().whole() > 0.5, "served " + played.figures().whole());
+        }
+    }
+
     /** The same checks fail where a GOAWAY's id and what ran are apart by one stream, either way. */
     @Test
     void anIdOffByOneIsCaught() {
--- a/tools/src/test/java/tillerlink/replay/ReplayTest.java
+++ b/tools/src/test/java/tillerlink/replay/ReplayTest.java
@@ -134,11 +134,13 @@
                 () -> play(job(Layout.ALIBABA_2018, empty, Fleet.builtIn(1), 0.5, Policy::new))).getMessage());
     }
 
-    /** Real processes, real time: a replay, and one of two gateways killed and an engine drained on the way. */
+    /** Real processes, real time: engines on lines and on HTTP/2, one drained, one killed, and one of two gateways killed. */
     @Test
     void overSockets() throws IOException {
         Path trace = trace(Layout.ALIBABA_2018, 400, 0);
-        Job job = job(Layout.ALIBABA_2018, trace, Fleet.of(2, 4), 0.3, Policy::new,
+        Fleet mixed = Fleet.of(2, 4).overHttp2(kind -> kind.name().startsWith("big"));
+        Job job = job(Layout.ALIBABA_2018, trace, mixed, 0.3, Policy::new,
+                new Trouble(SECOND / 2, Trouble.What.GONE, "e3", 0, 1),
                 new Trouble(SECOND, Trouble.What.DRAINED, "e1", SECOND, 1),
                 new Trouble(2 * SECOND, Trouble.What.KILLED, "n1", SECOND / 2, 1));
         try (Arrivals arrivals = new Arrivals(job)) {
@@ -147,7 +149,7 @@
             assertTrue(played.figures().addsUp());
             assertEquals(400, played.figures().arrived());
             assertTrue(played.figures().whole() > 0.8, "served " + played.figures().whole());
-            assertEquals(4, played.world().happened().size(), played.world().happened().toString());
+            assertEquals(5, played.world().happened().size(), played.world().happened().toString());
         }
     }
 }
