Start blind: go by a remembered list, weighed by its age, until discovery answers

Need: a gateway that restarts with discovery down had nothing to route to.

Recall is the seam in the gateway, Listed.trust and Steering.blind the facts that the module is told; Policy.proven sends few hops to an engine of a remembered list until it answered, and bound, receipted and effectful ones of an old list not at all; with nothing to trust all is turned back at once. Operator's part `store`.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -15,6 +15,14 @@
   streams_most = 256         # on one connection, whatever an engine allows; left out: 256
 }
 
+# What a gateway remembers over a restart, for a start with discovery down: the engines and when they were last told. Each
+# gateway has a folder of its own in this one. Without this part nothing is kept.
+store {
+  folder    = "/var/lib/tillerlink"
+  too_old_h = 24             # from this age on nothing that is remembered is trusted
+  memory_mb = 16             # of what is kept; on disk some three times as much
+}
+
 # A layout of traces beside those that are built in. Columns are named in the file's order, or by its header;
 # where a column is wanted, its name or its place from 1 on will do.
 layout "batch-log" {
--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -48,6 +48,7 @@
     private static final double TRIAL_CLEARS = 0.8; // share of the other record that a trial wipes out
     private static final double QUIET = 4; // silence of this many expected times is suspicious
     private static final double QUIET_NOTES = 1.3; // silence of this many periods of notes is suspicious
+    private static final double TRUSTED = 0.5; // from here on one answer makes up for a list that is remembered
     // Bad plans.
     private static final double BAD_PLAN = 4; // a hop projected at this many times the usual has a bad plan
     private static final double UNKNOWN = 2; // times the usual while too little of a track was seen
@@ -76,6 +77,7 @@
     private final double[] poolBounds = new double[2];
     private final double[] poolThreads = new double[2];
     private boolean crowded;
+    private boolean blind;
     private double fleetPace = 1;
     private double usualBusy;
     private double allCores;
@@ -173,6 +175,7 @@
             engine.cell = entry.cell();
             engine.standing = entry.standing();
             engine.startedAt = entry.startedAt();
+            engine.trust = entry.trust();
         }
         engines.removeIf(e -> e.standing == Engine.Standing.GONE && e.out.isEmpty());
         followAgainAt = Long.MAX_VALUE;
@@ -188,6 +191,11 @@
         engine.boundFactor = BOUND_START;
     }
 
+    @Override
+    public void blind(long now, boolean on) {
+        blind = on;
+    }
+
     @Override
     public void listFailed(long now) {
         if (settings.text("discovery").equals("ask")) {
@@ -369,7 +377,7 @@
                 break;
             }
             Submission s = next.queue.peekFirst();
-            if (hopeless(now, s) || (!s.hops.isEmpty() && !budgetLeft(now))) {
+            if (blind || hopeless(now, s) || (!s.hops.isEmpty() && !budgetLeft(now))) {
                 giveUp(now, s);
                 continue;
             }
@@ -469,7 +477,7 @@
         Engine likeliest = null;
         double chance = -1;
         for (Engine engine : engines) {
-            if (!open(now, s, engine) || !coldRoom(now, engine, work(now, s))) {
+            if (!open(now, s, engine) || !coldRoom(now, engine, work(now, s)) || !proven(s, engine)) {
                 continue;
             }
             if (doubtful(now, engine)) {
@@ -505,6 +513,21 @@
         return fewest(now, s);
     }
 
+    /**
+     * Guards a start from a remembered list: until an engine of it has answered, few hops go there, and none that
+     * must not run twice or is bound to some engines; of an old list these wait until it is confirmed. It may hurt
+     * a gateway that has little else.
+     */
+    private boolean proven(Submission s, Engine engine) {
+        boolean heard = engine.heardAt >= startedAt;
+        if (engine.trust >= 1 || heard && engine.trust >= TRUSTED) {
+            return true;
+        }
+        TrackTerms terms = s.track.terms;
+        return terms.effect() == Effect.PURE && terms.kinds() == null && terms.zones() == null
+                && (heard || engine.out.size() < Math.max(1, engine.trust * bound(engine)));
+    }
+
     /** Engines of which the test holds step aside while another remains. */
     private void stepAside(Predicate<Engine> aside) {
         if (!candidates.stream().allMatch(aside)) {
--- a/gateway/src/main/java/tillerlink/model/Engine.java
+++ b/gateway/src/main/java/tillerlink/model/Engine.java
@@ -16,6 +16,8 @@
     public int cell;
     public Standing standing = Standing.GONE;
     public long startedAt;
+    /** Below 1 while it is only remembered from before this gateway's start. */
+    public double trust = 1;
 
     /** Hops that are out, oldest first. */
     public final List<Hop> out = new ArrayList<>();
--- a/gateway/src/main/java/tillerlink/model/Listed.java
+++ b/gateway/src/main/java/tillerlink/model/Listed.java
@@ -1,6 +1,14 @@
 package tillerlink.model;
 
-/** One entry of the engine list as it came in; {@code startedAt} 0 means long ago. */
+/**
+ * One entry of the engine list as it came in; {@code startedAt} 0 means long ago.
+ *
+ * @param trust 1 as discovery tells it; less for one that is only remembered, the less the older
+ */
 public record Listed(Engine engine, int kind, int zone, int cell, double weight,
-                     Engine.Standing standing, long startedAt) {
+                     Engine.Standing standing, long startedAt, double trust) {
+    public Listed(Engine engine, int kind, int zone, int cell, double weight, Engine.Standing standing,
+                  long startedAt) {
+        this(engine, kind, zone, cell, weight, standing, startedAt, 1);
+    }
 }
--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -5,12 +5,14 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tillerlink.net.io.MinaDriver;
 import tillerlink.net.state.Carrier;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
+import tillerlink.net.state.Recall;
 import tillerlink.net.wire.Assignment;
 import tillerlink.plain.Units;
 import tillerlink.port.SteeringFactory;
@@ -36,12 +38,15 @@
     /** Serves until it is told to end. */
     public void serve(Map<String, String> environment, SteeringFactory modules)
             throws IOException, InterruptedException {
-        serve(environment, modules, null);
+        serve(environment, modules, null, assignment -> null);
     }
 
-    /** @param carriers how engines are reached, by their kinds; null: over engine lines */
-    public void serve(Map<String, String> environment, SteeringFactory modules, Carrier.Factory carriers)
-            throws IOException, InterruptedException {
+    /**
+     * @param carriers how engines are reached, by their kinds; null: over engine lines
+     * @param recalls  what is remembered across restarts, for what it is told to be; it may give null
+     */
+    public void serve(Map<String, String> environment, SteeringFactory modules, Carrier.Factory carriers,
+                      Function<Assignment, Recall> recalls) throws IOException, InterruptedException {
         String file = environment.get("EDGE_CONFIG");
         if (file == null) {
             throw new IOException("EDGE_CONFIG names no file");
@@ -55,7 +60,7 @@
         }
         MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
-        gateway = new Gateway(assignment, modules, driver, clock.now(), carriers);
+        gateway = new Gateway(assignment, modules, driver, clock.now(), carriers, recalls.apply(assignment));
         if (!onHangUp(() -> reload(path, driver))) {
             LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
             new Watch(path, () -> reload(path, driver)).start();
--- a/gateway/src/main/java/tillerlink/net/state/EngineList.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineList.java
@@ -35,6 +35,15 @@
             return null;
         }
         index = news.index();
+        return listed(news, Map.of());
+    }
+
+    /** What was remembered; any news are newer. */
+    List<Listed> remember(Recall.Remembered remembered) {
+        return listed(remembered.engines(), remembered.trust());
+    }
+
+    private List<Listed> listed(EngineNews news, Map<String, Double> trust) {
         List<Listed> listed = new ArrayList<>(news.entries().size());
         for (EngineEntry entry : news.entries()) {
             EngineSite site = sites.get(entry.id());
@@ -46,7 +55,8 @@
             site.at(entry);
             listed.add(new Listed(site.engine, place(kinds, entry.kind()), place(zones, entry.zone()), entry.cell(),
                     entry.weight(), entry.standing(),
-                    entry.startedMs() == 0 ? 0 : entry.startedMs() * Units.TENTHS_PER_MS));
+                    entry.startedMs() == 0 ? 0 : entry.startedMs() * Units.TENTHS_PER_MS,
+                    trust.getOrDefault(entry.id(), 1.0)));
         }
         return listed;
     }
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -34,6 +34,7 @@
     private static final int HEAP_SHARE = 4;
 
     private final Driver driver;
+    private final Recall recall;
     private final ClientDoor clients;
     private final EngineList engines;
     private final NameService names;
@@ -50,14 +51,17 @@
     private long countAt;
     /** The module was told something and has not settled it. */
     private boolean unsettled;
+    /** No list was told since the start. */
+    private boolean blind;
 
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now) {
-        this(assignment, factory, driver, now, null);
+        this(assignment, factory, driver, now, null, null);
     }
 
-    /** @param carriers as below */
-    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, Carrier.Factory carriers) {
-        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, carriers);
+    /** With a bound by this process' heap on what is kept for clients. */
+    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, Carrier.Factory carriers,
+                   Recall recall) {
+        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, carriers, recall);
     }
 
     /**
@@ -66,6 +70,13 @@
      */
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
                    Carrier.Factory carriers) {
+        this(assignment, factory, driver, now, bytesMost, carriers, null);
+    }
+
+    /** @param recall what is remembered across restarts; null: nothing */
+    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
+                   Carrier.Factory carriers, Recall recall) {
+        this.recall = recall;
         this.driver = driver;
         this.now = now;
         Map<String, Object> plain = PlainNames.of(assignment.terms());
@@ -83,6 +94,9 @@
         names = new NameService(driver, assignment.seed());
         steering = factory.start(now, assignment.seed(), plain, this);
         assignment.known().forEach(this::listed);
+        if (recall != null && assignment.known().stream().allMatch(news -> news.entries().isEmpty())) {
+            startBlind();
+        }
         unsettled = true;
     }
 
@@ -230,12 +244,34 @@
         }
     }
 
-    private void listed(EngineNews news) {
+    private void listed(EngineNews told) {
+        boolean newer = told.index() > engines.index();
+        EngineNews news = recall != null && newer ? recall.told(now, told) : told;
         List<Listed> entries = engines.take(news);
         if (entries != null) {
             steering.listed(now, news.whole(), entries);
             unsettled = true;
         }
+        if (blind && newer) {
+            blind = false;
+            steering.blind(now, false);
+            LOG.info("discovery answers, list {}", news.index());
+        }
+    }
+
+    /** Discovery told nothing: the gateway goes by what it remembers, or by nothing at all. */
+    private void startBlind() {
+        Recall.Remembered remembered = recall.atStart(now);
+        blind = true;
+        if (remembered.engines() == null) {
+            steering.blind(now, true);
+            LOG.warn("discovery told nothing, and nothing that can be trusted is remembered: all is turned back");
+        } else {
+            steering.listed(now, true, engines.remember(remembered));
+            LOG.atWarn().addKeyValue("engines", remembered.engines().entries().size())
+                    .addKeyValue("trust", remembered.trust().values().stream().findFirst().orElse(0.0))
+                    .log("discovery told nothing: starting from what is remembered");
+        }
     }
 
     // ---- orders ----
--- a/gateway/src/main/java/tillerlink/port/Steering.java
+++ b/gateway/src/main/java/tillerlink/port/Steering.java
@@ -17,6 +17,9 @@
     /** The list of engines changed; {@code whole} means that engines not in it are gone. */
     void listed(long now, boolean whole, List<Listed> entries);
 
+    /** Nothing is known of any engine, or what is known is too old to trust; or that is over. */
+    void blind(long now, boolean on);
+
     /** A call to the engine list failed, or the subscription broke. */
     void listFailed(long now);
 
--- a/tools/src/main/java/tillerlink/baseline/Baseline.java
+++ b/tools/src/main/java/tillerlink/baseline/Baseline.java
@@ -71,6 +71,11 @@
         engines.removeIf(engine -> engine.standing == Engine.Standing.GONE);
     }
 
+    @Override
+    public void blind(long now, boolean on) {
+        // Not heeded: with no engines all is turned back.
+    }
+
     @Override
     public void listFailed(long now) {
         // The last list holds.
--- a/tools/src/main/java/tillerlink/cli/ServeCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ServeCommand.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import tillerlink.Policy;
+import tillerlink.blind.Remembering;
 import tillerlink.net.life.Node;
 import tillerlink.operator.OperatorFile;
 
@@ -12,7 +13,7 @@
 @Command(name = "serve", mixinStandardHelpOptions = true,
         description = "Serve as one gateway on sockets, as the file that EDGE_CONFIG names tells it.")
 final class ServeCommand implements Callable<Integer> {
-    @Option(names = "--operator", paramLabel = "FILE", description = "the operator's file; its parts log and http2 are used")
+    @Option(names = "--operator", paramLabel = "FILE", description = "the operator's file; its parts log, http2 and store are used")
     private Path operator;
 
     @Override
@@ -21,7 +22,9 @@
         if (file != null) {
             Logs.set(file.log());
         }
-        new Node().serve(System.getenv(), Policy::new, file == null ? null : file.http2());
+        OperatorFile.Storing store = file == null ? null : file.store();
+        new Node().serve(System.getenv(), Policy::new, file == null ? null : file.http2(), assignment -> store == null
+                ? null : Remembering.open(Path.of(store.folder()), assignment, store.ageMost(), store.bytesMost()));
         return 0;
     }
 }
--- a/tools/src/main/java/tillerlink/emulator/Seat.java
+++ b/tools/src/main/java/tillerlink/emulator/Seat.java
@@ -48,9 +48,11 @@
         inbox.clear();
         turnDue = false;
         armedFor = Long.MAX_VALUE;
-        told(world.list());
+        if (!world.namesDown()) {
+            told(world.list());
+        }
         gateway = new Gateway(world.fleet.assignment(place, seeds.nextLong(), world.tracks, world.news()), modules,
-                this, world.now(), BYTES_MOST, world.fleet.carriers());
+                this, world.now(), BYTES_MOST, world.fleet.carriers(), world.recalls.apply(place));
         post(() -> { });
     }
 
--- a/tools/src/main/java/tillerlink/emulator/World.java
+++ b/tools/src/main/java/tillerlink/emulator/World.java
@@ -11,11 +11,13 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntConsumer;
+import java.util.function.IntFunction;
 import tillerlink.audit.Auditor;
 import tillerlink.fleet.Fleet;
 import tillerlink.fleet.Spec;
 import tillerlink.fleet.Trouble;
 import tillerlink.model.Engine;
+import tillerlink.net.state.Recall;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.net.wire.EngineNews;
 import tillerlink.port.SteeringFactory;
@@ -42,6 +44,10 @@
     public final List<Seat> seats = new ArrayList<>();
     /** How engines speak on a new connection; tests put in others that misbehave. */
     public Function<Spec, EngineSide> sides;
+    /** What each gateway remembers over a restart, by its place; null for nothing. */
+    public IntFunction<Recall> recalls = place -> null;
+    /** Until then the name service answers nobody, and a gateway that starts is told nothing. */
+    public long namesDownUntil;
     /** What gateways cost, where that is measured; else null. */
     public Meter meter;
     /** Where bytes are split and how long they take beyond the usual; null for whole and no longer. */
@@ -154,10 +160,20 @@
     }
 
     public EngineNews news() {
+        if (namesDown()) {
+            return new EngineNews(0, true, List.of());
+        }
         return new EngineNews(serial, true, list());
     }
 
+    boolean namesDown() {
+        return now() < namesDownUntil;
+    }
+
     byte[] nameAnswer() {
+        if (namesDown()) {
+            return null;
+        }
         if (nameAnswer == null) {
             nameAnswer = NameAnswer.of(0, serial, list());
         }
--- a/tools/src/main/java/tillerlink/operator/OperatorFile.java
+++ b/tools/src/main/java/tillerlink/operator/OperatorFile.java
@@ -21,7 +21,7 @@
  *
  * @param tracks in the order of the file: the first whose tests a row passes takes it
  */
-public record OperatorFile(Log log, H2Carriers http2, List<Layout> layouts, Fleet fleet, List<Track> tracks, List<Trouble> troubles,
+public record OperatorFile(Log log, H2Carriers http2, Storing store, List<Layout> layouts, Fleet fleet, List<Track> tracks, List<Trouble> troubles,
                            Replaying replay) {
     /** How log lines look. */
     public record Log(Form form, Level level) {
@@ -37,6 +37,10 @@
     public record Replaying(double load, Plan.Scale scale, long window, double error, double badMost, long seed) {
     }
 
+    /** Where gateways remember what outlives them; from which age on that is not trusted, in tenths of a millisecond. */
+    public record Storing(String folder, long ageMost, long bytesMost) {
+    }
+
     /** The file as a whole is wrong: all its faults, each with its place. */
     public static final class FaultyException extends IOException {
         private static final long serialVersionUID = 1L;
@@ -62,7 +66,8 @@
     public static OperatorFile read(Path path) throws IOException {
         List<Fault> faults = new ArrayList<>();
         Section all = HclReader.read(path, faults);
-        OperatorFile file = new OperatorFile(log(all.one("log")), http2(all.one("http2")), layouts(all), fleet(all.one("fleet")),
+        OperatorFile file = new OperatorFile(log(all.one("log")), http2(all.one("http2")), store(all.one("store")),
+                layouts(all), fleet(all.one("fleet")),
                 tracks(all), troubles(all), replay(all.one("replay")));
         all.close();
         file.checkNames(all);
@@ -97,6 +102,17 @@
         return carriers;
     }
 
+    private static Storing store(Section section) {
+        if (section == null) {
+            return null;
+        }
+        Storing store = new Storing(section.text("folder", null),
+                Math.round(section.number("too_old_h", 0.01, 24 * 365, 24) * 3600 * TENTHS_PER_S),
+                section.whole("memory_mb", 1, 1024, 16) << 20);
+        section.close();
+        return store;
+    }
+
     // ---- layouts ----
 
     private static List<Layout> layouts(Section all) {
--- a/tools/src/test/java/tillerlink/replay/ReplayTest.java
+++ b/tools/src/test/java/tillerlink/replay/ReplayTest.java
@@ -114,7 +114,7 @@
     }
 
     /** Compares with the kept trace; with {@code -Dkeep=folder} writes it there for people to read and keep. */
-    private static void kept(String name, String printed) throws IOException {
+    static void kept(String name, String printed) throws IOException {
         String keep = System.getProperty("keep");
         if (keep != null) {
             Files.writeString(Path.of(keep, name + ".txt"), printed);
