--- a/http2/src/main/java/tillerlink/net/http2/Connection.java
+++ b/http2/src/main/java/tillerlink/net/http2/Connection.java
@@ -408,15 +408,14 @@
             String name = header.getName();
             if (name.startsWith(":")) {
                 String value = header.getValue();
-                if (plain || trailers || status >= 0 || !name.equals(":status") || !value.matches("[1-5][0-9][0-9]")
-                        || value.equals("101")) {
+                if (plain || trailers || status >= 0 || !name.equals(":status") || !digits(value, 3)
+                        || value.charAt(0) < '1' || value.charAt(0) > '5' || value.equals("101")) {
                     return -1;
                 }
                 status = Integer.parseInt(value);
             } else {
                 plain = true;
-                if (name.isEmpty() || !name.chars().allMatch(Connection::inName) || isOfConnection(header)
-                        || header.getValue().chars().anyMatch(c -> c == 0 || c == '\r' || c == '\n')) {
+                if (!isName(name) || isOfConnection(header) || !isValue(header.getValue())) {
                     return -1;
                 }
             }
@@ -424,8 +423,27 @@
         return status;
     }
 
-    private static boolean inName(int c) {
-        return c > ' ' && c < 127 && (c < 'A' || c > 'Z') && c != ':';
+    private static boolean isName(String name) {
+        for (int i = 0; i < name.length(); i++) {
+            char c = name.charAt(i);
+            if (c <= ' ' || c >= 127 || c >= 'A' && c <= 'Z' || c == ':') {
+                return false;
+            }
+        }
+        return !name.isEmpty();
+    }
+
+    private static boolean isValue(String value) {
+        return value.indexOf(0) < 0 && value.indexOf('\r') < 0 && value.indexOf('\n') < 0;
+    }
+
+    private static boolean digits(String text, int most) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= most && (most > 3 || text.length() == most);
     }
 
     private static boolean isOfConnection(Header header) {
@@ -441,7 +459,7 @@
         long length = -1;
         for (Header header : headers) {
             if (header.getName().equals("content-length")) {
-                if (length != -1 || !header.getValue().matches("[0-9]{1,12}")) {
+                if (length != -1 || !digits(header.getValue(), 12)) {
                     return -2;
                 }
                 length = Long.parseLong(header.getValue());
--- a/http2/src/main/java/tillerlink/net/http2/H2Link.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Link.java
@@ -1,6 +1,7 @@
 package tillerlink.net.http2;
 
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +43,7 @@
     private final EngineSite site;
     private final Connection connection = new Connection();
     private final Map<Integer, Ride> rides = new LinkedHashMap<>();
+    private final Map<Flight, Ride> byFlight = new IdentityHashMap<>();
     private final long dialedAt;
     private Pipe pipe;
     private boolean open;
@@ -147,7 +149,9 @@
             owner.later(() -> owner.ended(flight, StreamEnd.NO_ROOM.outcome(false, flight.begun())));
             return;
         }
-        rides.put(stream, new Ride(flight, stream));
+        Ride ride = new Ride(flight, stream);
+        rides.put(stream, ride);
+        byFlight.put(flight, ride);
         flush();
     }
 
@@ -156,12 +160,7 @@
     }
 
     private Ride ride(Flight flight) {
-        for (Ride ride : rides.values()) {
-            if (ride.flight == flight) {
-                return ride;
-            }
-        }
-        return null;
+        return byFlight.get(flight);
     }
 
     /**
@@ -191,8 +190,13 @@
         flush();
     }
 
-    private void drop(Ride ride) {
+    private void forget(Ride ride) {
         rides.remove(ride.stream);
+        byFlight.remove(ride.flight, ride);
+    }
+
+    private void drop(Ride ride) {
+        forget(ride);
         idleSince = owner.now();
         if (rides.isEmpty() && (retired || connection.isSpent())) {
             end(StreamEnd.CUT, Break.CLOSED_BY_US);
@@ -350,7 +354,7 @@
 
     private void complete(Ride ride) {
         answered++;
-        rides.remove(ride.stream);
+        forget(ride);
         idleSince = owner.now();
         boolean sound = ride.flight.completeAnswer();
         owner.ended(ride.flight, (sound ? StreamEnd.ANSWERED : StreamEnd.GARBLED).outcome(true, true));
@@ -360,7 +364,7 @@
     /** A stream is over and its hop with it, unless the rest of its result can be had on another connection. */
     private void finish(Ride ride, StreamEnd how) {
         connection.cancel(ride.stream, ErrorCode.CANCEL);
-        rides.remove(ride.stream);
+        forget(ride);
         idleSince = owner.now();
         boolean begun = ride.flight.begun();
         if (how == StreamEnd.ANSWERED_ERROR || how == StreamEnd.ANSWERED_FULL) {
--- a/tools/src/main/java/tillerlink/cli/Tillerlink.java
+++ b/tools/src/main/java/tillerlink/cli/Tillerlink.java
@@ -15,7 +15,8 @@
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:fine", "1:a fault, told in one line",
             "2:wrong usage"},
         subcommands = {ServeCommand.class, WireHostCommand.class, CheckCommand.class,
-            TraceCommand.class, ReplayCommand.class, DemoCommand.class, StoreCommand.class})
+            TraceCommand.class, ReplayCommand.class, DemoCommand.class, StoreCommand.class,
+            ExploreCommand.class})
 public final class Tillerlink implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/tools/src/main/java/tillerlink/emulator/EmulatedEngine.java
+++ b/tools/src/main/java/tillerlink/emulator/EmulatedEngine.java
@@ -31,6 +31,8 @@
         private final String id;
         private final Cores.Load load;
         private boolean over;
+        /** Runs, and nothing is ever said of it. */
+        private boolean mute;
 
         Query(Peer link, String id, double work, int threads, double memory) {
             this.link = link;
@@ -149,7 +151,12 @@
 
     private void want(Peer link, Command command) {
         World.Job job = world.job(command.id());
-        if (draining || cores.running() >= sessionsMost) {
+        int way = world.choices.choose("engine", 4);
+        if (way == 2) {
+            link.say(Says.error(command.id()));
+            return;
+        }
+        if (way == 1 || draining || cores.running() >= sessionsMost) {
             link.say(Says.refused(command.id()));
             return;
         }
@@ -166,6 +173,7 @@
         }
         cores.advance(world.now());
         Query query = new Query(link, command.id(), work, job.threads(), job.memory());
+        query.mute = way == 3;
         open.computeIfAbsent(link, l -> new LinkedHashMap<>()).put(command.id(), query);
         cores.add(query.load);
         look();
@@ -187,7 +195,7 @@
         if (query.over || ended) {
             return;
         }
-        if (!silent) {
+        if (!silent && !query.mute) {
             cores.advance(world.now());
             double missing = cores.megabytesMissing();
             double share = Math.rint(cores.shareDone(query.load) * 1000) / 1000;
@@ -223,7 +231,7 @@
     private void finish(Query query) {
         query.over = true;
         forget(query);
-        if (silent) {
+        if (silent || query.mute) {
             return;
         }
         int pages = Results.pages(query.id);
--- a/tools/src/main/java/tillerlink/emulator/Link.java
+++ b/tools/src/main/java/tillerlink/emulator/Link.java
@@ -1,5 +1,6 @@
 package tillerlink.emulator;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import tillerlink.fleet.Kind;
@@ -12,6 +13,8 @@
 /** A connection from a gateway to an engine: bytes take a while, in order; a machine that is silent swallows them. */
 final class Link implements Pipe, Peer {
     private static final int LATE_MOST = 200;
+    private static final long WORD_LATE = 1000;
+    private static final long SAID_LATE = 3000;
 
     private final World world;
     private final Seat seat;
@@ -29,6 +32,8 @@
     private boolean lost;
     /** When the last that is on its way arrives, each way: nothing overtakes it. */
     private long outAt;
+    /** Writes that have gone out and of which the gateway was not told. */
+    private int untold;
     private long inAt;
 
     Link(World world, Seat seat, Owner owner, EmulatedEngine engine, long delay) {
@@ -49,9 +54,10 @@
         if (over) {
             return;
         }
-        if (engine == null || engine.isEnded()) {
+        int way = world.choices.choose("connect", 3);
+        if (engine == null || engine.isEnded() || way == 1) {
             cut(Break.REFUSED);
-        } else if (engine.takesConnections()) {
+        } else if (engine.takesConnections() && way == 0) {
             up = true;
             engine.connected(this);
             seat.post(life, owner::opened);
@@ -65,11 +71,36 @@
         for (Command command = outgoing.next(); command != null; command = outgoing.next()) {
             hops.goesOut(world.now(), command);
         }
-        seat.post(life, owner::written);
+        int way = world.choices.choose("to the engine", 4);
+        tellWritten(world.choices.choose("word of a write", 2) == 1);
+        if (way == 1) {
+            cut(Break.RESET);
+            return;
+        }
+        lost |= way == 3;
         for (byte[] part : parts(bytes)) {
             outAt = Math.max(outAt, world.now() + delay + late());
             world.timeline.at(outAt, () -> arrive(part));
         }
+        if (way == 2) {
+            world.timeline.at(outAt, () -> cut(Break.RESET));
+        }
+    }
+
+    /** Word of a write may wait a while, but never until after the word of the connection's end. */
+    private void tellWritten(boolean later) {
+        if (!later && untold == 0) {
+            seat.post(life, owner::written);
+            return;
+        }
+        untold++;
+        world.timeline.at(world.now() + WORD_LATE, this::tellUntold);
+    }
+
+    private void tellUntold() {
+        for (; untold > 0; untold--) {
+            seat.post(life, owner::written);
+        }
     }
 
     private long late() {
@@ -109,7 +140,14 @@
     }
 
     private void travel(byte[] bytes) {
-        for (byte[] part : bytes.length == 0 ? List.<byte[]>of() : parts(bytes)) {
+        int way = bytes.length == 0 ? 0 : world.choices.choose("from the engine", 4);
+        if (way == 1) {
+            cut(Break.RESET);
+            return;
+        }
+        byte[] said = way == 3 ? "x\r\n".getBytes(StandardCharsets.US_ASCII) : bytes;
+        inAt = way == 2 ? Math.max(inAt, world.now()) + SAID_LATE : inAt;
+        for (byte[] part : bytes.length == 0 ? List.<byte[]>of() : parts(said)) {
             inAt = Math.max(inAt, world.now() + delay + late());
             world.timeline.at(inAt, () -> {
                 hops.disowned(id -> side.leftBehind(outgoing, id));
@@ -139,6 +177,7 @@
         if (!over) {
             world.timeline.at(Math.max(inAt, world.now() + delay), () -> {
                 if (!over) {
+                    tellUntold();
                     end(how == Break.REFUSED);
                     seat.post(life, () -> owner.ended(how));
                 }
--- a/tools/src/main/java/tillerlink/emulator/World.java
+++ b/tools/src/main/java/tillerlink/emulator/World.java
@@ -50,6 +50,8 @@
     public long namesDownUntil;
     /** What gateways cost, where that is measured; else null. */
     public Meter meter;
+    /** What goes otherwise than usual, decided point by point. */
+    public Choices choices = Choices.NONE;
     /** Where bytes are split and how long they take beyond the usual; null for whole and no longer. */
     public Random mischief;
     final Receipts receipts;
--- a/tools/src/main/java/tillerlink/replay/Front.java
+++ b/tools/src/main/java/tillerlink/replay/Front.java
@@ -20,6 +20,7 @@
     private static final int CALLS_MOST = 3;
     /** Each time limit is 50 ms longer on sockets. */
     private static final long SLACK = 500;
+    private static final long LEAVING_TAKES = 10;
     private static final long IDLE_MOST = 4 * Figures.SECOND;
 
     /** One submission and its client. */
@@ -119,7 +120,22 @@
         String more = answer.status() == 200 ? answer.goOnAt() : null;
         if (more != null) {
             request.path = more;
-            on.say(Wording.fetch(more));
+            switch (request.over ? 0 : world.choices.choose("client", 3)) {
+                case 1 -> {
+                    on.hangUp();
+                    say(request, Wording.fetch(more));
+                }
+                case 2 -> {
+                    on.hangUp();
+                    new Conversation(request.gateway).say(Wording.leave(more));
+                    // Until the gateway has heard of it, it does right to go on.
+                    world.timeline.at(world.now() + LEAVING_TAKES, () -> {
+                        world.auditor.left(world.now(), request.id, false);
+                        finish(request, End.CLIENT_GONE);
+                    });
+                }
+                default -> on.say(Wording.fetch(more));
+            }
             return;
         }
         on.free();
