--- a/bench/src/main/java/tillerlink/jmh/LinesAgainstHttp2.java
+++ b/bench/src/main/java/tillerlink/jmh/LinesAgainstHttp2.java
@@ -16,14 +16,15 @@
 import tillerlink.workload.Track;
 
 /**
- * Engine lines against HTTP/2, side by side in one run on one thread, in virtual time: connections at 1,000 hops in flight
- * over 30 engines, what a gateway takes and allocates for a submission, and its times at half load.
+ * Engine lines against HTTP/2, side by side in one run on one thread, in virtual time: connections at 1,000 hops in
+ * flight over 30 engines, what a gateway takes and allocates for a submission, and its times at half load.
  */
 public final class LinesAgainstHttp2 {
     private static final long START = 17_000_000_000_000L;
     private static final int ROUNDS = 4;
     private static final int SUBMISSIONS = 20_000;
-    private static final Track TRACK = new Track("look", Effect.PURE, 1, 200_000, 400_000, 1, 0.5, List.of(), 0, 1, List.of());
+    private static final Track TRACK = new Track("look", Effect.PURE, 1, 200_000, 400_000, 1, 0.5, List.of(),
+            0, 1, List.of());
 
     private LinesAgainstHttp2() {
     }
@@ -75,8 +76,8 @@
         }
         double seconds = (System.nanoTime() - began) / 1e9;
         Figures.OfTrack of = figures.tracks().get(0);
-        System.out.printf(Locale.ROOT, "%s: %.1f us and %d bytes of a gateway a submission, %.0f a second with all stand-ins, "
-                + "half in %.1f ms, 99 of 100 in %.1f ms, %d connections%n", name(http2),
+        System.out.printf(Locale.ROOT, "%s: %.1f us and %d bytes of a gateway a submission, %.0f a second with "
+                + "all stand-ins, half in %.1f ms, 99 of 100 in %.1f ms, %d connections%n", name(http2),
                 world.meter.nanos() / 1e3 / SUBMISSIONS, world.meter.bytes() / SUBMISSIONS, SUBMISSIONS / seconds,
                 of.timeMs(50), of.timeMs(99), world.seats.get(0).links());
     }
--- a/bench/src/main/java/tillerlink/jmh/StoreAppends.java
+++ b/bench/src/main/java/tillerlink/jmh/StoreAppends.java
@@ -87,8 +87,8 @@
         long began = System.nanoTime();
         try (Table table = new Table(new Folder(folder), 1, 1 << 20, 1 << 28)) {
             table.open();
-            System.out.printf(Locale.ROOT, "%d engines: %d KB on disk, %.2f bytes on disk a byte of values written, recovered in "
-                    + "%.1f ms%n", engines, bytes(folder) / 1024, (double) bytes(folder) / written,
+            System.out.printf(Locale.ROOT, "%d engines: %d KB on disk, %.2f bytes on disk a byte of values written, "
+                    + "recovered in %.1f ms%n", engines, bytes(folder) / 1024, (double) bytes(folder) / written,
                     (System.nanoTime() - began) / 1e6);
         }
     }
--- a/blind/src/main/java/tillerlink/blind/Remembering.java
+++ b/blind/src/main/java/tillerlink/blind/Remembering.java
@@ -16,7 +16,7 @@
 import tillerlink.store.Keeper;
 import tillerlink.store.Table;
 
-/** Opens what one gateway remembers, in a folder of its own. Whatever the disk does, the gateway serves all the same. */
+/** Opens what one gateway remembers, in a folder of its own. Whatever the disk does, the gateway serves. */
 public final class Remembering {
     private static final Logger LOG = LoggerFactory.getLogger(Remembering.class);
     private static final long SEGMENT_MOST = 1 << 20;
@@ -40,8 +40,8 @@
         }
         long warm = terms.number("guarantees.warm_within", 0);
         try {
-            Table table = new Table(new Folder(within.resolve(assignment.name())), owner(assignment.name()), SEGMENT_MOST,
-                    bytesMost);
+            Table table = new Table(new Folder(within.resolve(assignment.name())), owner(assignment.name()),
+                    SEGMENT_MOST, bytesMost);
             Found found = table.open();
             found.told().forEach(line -> LOG.atWarn().addKeyValue("store", found.state()).log(line));
             if (found.usable()) {
--- a/blind/src/main/java/tillerlink/blind/Trust.java
+++ b/blind/src/main/java/tillerlink/blind/Trust.java
@@ -22,8 +22,8 @@
     }
 
     /**
-     * Guards against a clock that was set back, by which a list would be from the future: such a one is old at the best;
-     * and against one set forward, which makes any list too old, so that the most that is lost is the list.
+     * Guards against a clock that was set back, by which a list would be from the future: such a one is old at the
+     * best; and against one set forward, which makes any list too old, so that the most that is lost is the list.
      *
      * @param changes     the share of the fleet that changes in a tenth of a millisecond, as seen; 0 if nothing was
      * @param longestStop the longest hard stop of any track
--- a/gateway/src/main/java/tillerlink/net/state/Recall.java
+++ b/gateway/src/main/java/tillerlink/net/state/Recall.java
@@ -20,6 +20,6 @@
     /** Asked once, at a start for which discovery told nothing. Times are tenths of a millisecond. */
     Remembered atStart(long now);
 
-    /** Discovery told the list; what is to be taken for it. Guards against a list that lost half of the fleet at once. */
+    /** Discovery told the list; what is to be taken for it. Guards against one that lost half of the fleet at once. */
     EngineNews told(long now, EngineNews news);
 }
--- a/http2/src/main/java/tillerlink/net/http2/Connection.java
+++ b/http2/src/main/java/tillerlink/net/http2/Connection.java
@@ -222,7 +222,8 @@
             case Frame.PING -> pinged(frame);
             case Frame.GOAWAY -> leaving(frame);
             case Frame.WINDOW_UPDATE -> opened(frame);
-            case Frame.PUSH_PROMISE -> throw new ConnectionFault(ErrorCode.PROTOCOL_ERROR, "a push, which was not enabled");
+            case Frame.PUSH_PROMISE ->
+                throw new ConnectionFault(ErrorCode.PROTOCOL_ERROR, "a push, which was not enabled");
             case Frame.PRIORITY -> {
                 need(frame.stream() != 0, "a priority on no stream");
                 if (frame.payload().length != 5) {
--- a/http2/src/main/java/tillerlink/net/http2/FrameReader.java
+++ b/http2/src/main/java/tillerlink/net/http2/FrameReader.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 
-/** Makes frames of bytes as they come; knows no socket. What is kept is one frame at the most, and what came with it. */
+/** Makes frames of bytes as they come; knows no socket. It keeps one frame at the most, and what came with it. */
 public final class FrameReader {
     private static final int HEAD = 9;
 
--- a/http2/src/main/java/tillerlink/net/http2/FrameWriter.java
+++ b/http2/src/main/java/tillerlink/net/http2/FrameWriter.java
@@ -84,8 +84,8 @@
         do {
             int length = Math.min(frameMost, block.length() - from);
             boolean whole = from + length == block.length();
-            frame(type, (type == Frame.HEADERS && last ? Frame.END_STREAM : 0) | (whole ? Frame.END_HEADERS : 0), stream,
-                    block.array(), from, length);
+            int flags = (type == Frame.HEADERS && last ? Frame.END_STREAM : 0) | (whole ? Frame.END_HEADERS : 0);
+            frame(type, flags, stream, block.array(), from, length);
             from += length;
             type = Frame.CONTINUATION;
         } while (from < block.length());
--- a/http2/src/main/java/tillerlink/net/http2/H2Carrier.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Carrier.java
@@ -11,8 +11,8 @@
 import tillerlink.net.state.Flight;
 
 /**
- * Carries hops to one engine over HTTP/2: many on few connections, within the engine's limit of streams. A hop that finds
- * no room waits, for a bounded time; what its ending proves is told to the module as an outcome.
+ * Carries hops to one engine over HTTP/2: many on few connections, within the engine's limit of streams. A hop that
+ * finds no room waits, for a bounded time; what its ending proves is told to the module as an outcome.
  */
 public final class H2Carrier implements Carrier {
     private static final int CONNECTIONS_MOST = 4;
--- a/http2/src/main/java/tillerlink/net/http2/H2Link.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Link.java
@@ -164,8 +164,8 @@
     }
 
     /**
-     * Whether a request may have come whole to the engine. What the engine says of a stream comes after we heard that it
-     * was written, and so does the connection's own end. Where we end the connection that is not so: what was handed
+     * Whether a request may have come whole to the engine. What the engine says of a stream comes after we heard that
+     * it was written, and so does the connection's own end. Where we end the connection that is not so: what was handed
      * over may be on its way though nobody said so yet.
      */
     private boolean whole(Ride ride) {
--- a/http2/src/main/java/tillerlink/net/pool/Pool.java
+++ b/http2/src/main/java/tillerlink/net/pool/Pool.java
@@ -41,7 +41,7 @@
     private static final Choice DIAL = new Choice(Verdict.DIAL, null);
     private static final Choice WAIT = new Choice(Verdict.WAIT, null);
     /** Until it has answered once, a connection is lent only so many streams: it may lead to nobody who works. */
-    private static final int BEFORE_ANSWER = 8;
+    private static final int BEFORE_ANSWER = 32;
     /** Each answer lets it bear so many more. */
     private static final int PER_ANSWER = 2;
     /** A connection ends after so many times of what it may lie idle, so that new ones follow the engine's address. */
--- a/store/src/main/java/tillerlink/store/Folder.java
+++ b/store/src/main/java/tillerlink/store/Folder.java
@@ -27,7 +27,8 @@
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> files = Files.list(path)) {
-            return files.map(file -> file.getFileName().toString()).filter(name -> !name.equals(LOCK)).sorted().toList();
+            return files.map(file -> file.getFileName().toString()).filter(name -> !name.equals(LOCK)).sorted()
+                    .toList();
         }
     }
 
--- a/store/src/main/java/tillerlink/store/Table.java
+++ b/store/src/main/java/tillerlink/store/Table.java
@@ -350,7 +350,8 @@
 
     /** The sequence with which the segments before that one end: one less than its first record's. */
     private long lastBefore(long number) throws IOException {
-        byte[] file = disk.read(Format.name(Format.LOG, number), Format.HEAD + 64 + Format.KEY_MOST + Format.VALUE_MOST);
+        byte[] file = disk.read(Format.name(Format.LOG, number),
+                Format.HEAD + 64 + Format.KEY_MOST + Format.VALUE_MOST);
         Format.Entry first = Format.entry(file, Format.HEAD);
         return first == null ? Long.MAX_VALUE : first.sequence() - 1;
     }
--- a/tools/src/main/java/tillerlink/cli/ReplayCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ReplayCommand.java
@@ -136,7 +136,8 @@
         Fleet fleet = own ? file.fleet() : Fleet.of(3, engines == null ? 12 : engines);
         return new Job(Words.shards(files), chosen,
                 file != null && !file.tracks().isEmpty() ? file.tracks() : BuiltIn.tracks(chosen),
-                speaking(gateways == null ? fleet : fleet.behind(gateways), file), file == null ? List.of() : file.troubles(), ordering,
+                speaking(gateways == null ? fleet : fleet.behind(gateways), file),
+                file == null ? List.of() : file.troubles(), ordering,
                 sortIn, sortMost << 20, loadWanted, scale == null ? plain.scale() : scale, jobs,
                 error == null ? plain.error() : error, badMost == null ? plain.badMost() : badMost,
                 seed == null ? plain.seed() : seed, choice.name().toLowerCase(Locale.ROOT), modules());
--- a/tools/src/main/java/tillerlink/cli/ServeCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ServeCommand.java
@@ -13,7 +13,8 @@
 @Command(name = "serve", mixinStandardHelpOptions = true,
         description = "Serve as one gateway on sockets, as the file that EDGE_CONFIG names tells it.")
 final class ServeCommand implements Callable<Integer> {
-    @Option(names = "--operator", paramLabel = "FILE", description = "the operator's file; its parts log, http2 and store are used")
+    @Option(names = "--operator", paramLabel = "FILE",
+            description = "the operator's file; its parts log, http2 and store are used")
     private Path operator;
 
     @Override
--- a/tools/src/main/java/tillerlink/cli/StoreCommand.java
+++ b/tools/src/main/java/tillerlink/cli/StoreCommand.java
@@ -67,8 +67,8 @@
     static final class Check extends OnFolder {
         @Override
         void act(Table table, PrintWriter out) {
-            out.printf(Locale.ROOT, "%s, %d keys as of record %d%n", table.found().state().name().toLowerCase(Locale.ROOT),
-                    table.values().size(), table.sequence());
+            out.printf(Locale.ROOT, "%s, %d keys as of record %d%n",
+                    table.found().state().name().toLowerCase(Locale.ROOT), table.values().size(), table.sequence());
         }
     }
 
--- a/tools/src/main/java/tillerlink/explore/Explorer.java
+++ b/tools/src/main/java/tillerlink/explore/Explorer.java
@@ -7,12 +7,12 @@
 import java.util.Set;
 
 /**
- * Explores all histories in which at most so many things go otherwise than usual, fewest first: each point of a history at
- * which something may is tried in every way, behind those that went otherwise before. A history is rebuilt from its
+ * Explores all histories in which at most so many things go otherwise than usual, fewest first: each point of a history
+ * at which something may is tried in every way, behind those that went otherwise before. A history is rebuilt from its
  * deviations. Two whose people would read the same are one: only the first is gone on from.
  */
 public final class Explorer {
-    /** What was found: how many histories, how many that differ, how deep, whether all were played, and the first wrong one. */
+    /** How many histories, how many that differ, how deep, whether all were played, and the first wrong one. */
     public record Found(long histories, long distinct, int deviations, boolean closed, Story wrong) {
     }
 
--- a/tools/src/main/java/tillerlink/fleet/Fleet.java
+++ b/tools/src/main/java/tillerlink/fleet/Fleet.java
@@ -49,7 +49,8 @@
         for (int i = 0; i < engines; i++) {
             specs.add(new Spec("e" + (i + 1), i % 3 == 2 ? 1 : 0, i / 3 % 3));
         }
-        return new Fleet(gateways, SEATS, List.of(new Kind("std-8", 8, 16_384, false), new Kind("big-16", 16, 32_768, false)),
+        return new Fleet(gateways, SEATS, List.of(new Kind("std-8", 8, 16_384, false),
+                new Kind("big-16", 16, 32_768, false)),
                 List.of("east", "middle", "west"), specs, 2 * SECOND, 0.3, 13 * SECOND, 2.5, 3 * SECOND, SECOND / 2,
                 3, 0.1, 10 * SECOND, 4, SECOND);
     }
--- a/tools/src/main/java/tillerlink/operator/OperatorFile.java
+++ b/tools/src/main/java/tillerlink/operator/OperatorFile.java
@@ -21,8 +21,8 @@
  *
  * @param tracks in the order of the file: the first whose tests a row passes takes it
  */
-public record OperatorFile(Log log, H2Carriers http2, Storing store, List<Layout> layouts, Fleet fleet, List<Track> tracks, List<Trouble> troubles,
-                           Replaying replay) {
+public record OperatorFile(Log log, H2Carriers http2, Storing store, List<Layout> layouts, Fleet fleet,
+                           List<Track> tracks, List<Trouble> troubles, Replaying replay) {
     /** How log lines look. */
     public record Log(Form form, Level level) {
     }
@@ -37,7 +37,7 @@
     public record Replaying(double load, Plan.Scale scale, long window, double error, double badMost, long seed) {
     }
 
-    /** Where gateways remember what outlives them; from which age on that is not trusted, in tenths of a millisecond. */
+    /** Where gateways remember what outlives them; the age from which it is not trusted, in tenths of a millisecond. */
     public record Storing(String folder, long ageMost, long bytesMost) {
     }
 
--- a/tools/src/main/java/tillerlink/standin/EngineSide.java
+++ b/tools/src/main/java/tillerlink/standin/EngineSide.java
@@ -24,7 +24,7 @@
         return List.of();
     }
 
-    /** Whether it has said that it does not act on a hop that the peer has sent on the connection as this side sees it. */
+    /** Whether it has said that it does not act on a hop that was sent on the connection as the sender sees it. */
     default boolean leftBehind(EngineSide sender, String hop) {
         return false;
     }
--- a/tools/src/main/java/tillerlink/standin/H2Side.java
+++ b/tools/src/main/java/tillerlink/standin/H2Side.java
@@ -22,7 +22,7 @@
 import tillerlink.standin.EngineCommands.Command;
 import tillerlink.standin.EngineCommands.Word;
 
-/** A stand-in engine's side of HTTP/2, worded as docs/http2-wire.md says; it behaves, and is made to misbehave by tests. */
+/** A stand-in engine's side of HTTP/2, worded as docs/http2-wire.md says; tests make it misbehave. */
 public final class H2Side implements EngineSide {
     private static final byte[] PREFACE = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final int TABLE = 4096;
