Show that a trace which shrinks while it is read costs only what is missing

Need: the hard case stood in the code and in no test. Measured: the test passes, the cut is counted once and all rows add up.

--- a/tools/src/test/java/tillerlink/trace/TraceReadingTest.java
+++ b/tools/src/test/java/tillerlink/trace/TraceReadingTest.java
@@ -163,6 +163,24 @@
         assertTrue(tasks.size() > 1000, "what came before the cut is used, and the shards behind it");
     }
 
+    @Test
+    void aFileThatShrinksWhileItIsRead() throws IOException {
+        Shard shard = shard("shrinks.csv", "a,1,j,1,Terminated,1,2,100,0.5\n".repeat(20_000));
+        long tasks = 0;
+        try (TaskReader reader = new TaskReader(Layout.ALIBABA_2018, List.of(shard), List.of(List.of()), tally)) {
+            while (reader.next() != null) {
+                if (tasks++ == 0) {
+                    try (var file = java.nio.channels.FileChannel.open(shard.path(), java.nio.file.StandardOpenOption.WRITE)) {
+                        file.truncate(300_010);
+                    }
+                }
+            }
+        }
+        assertEquals(1, tally.skipped(Skip.CUT_OFF));
+        assertTrue(tasks > 1000 && tasks < 20_000, tasks + " tasks");
+        assertTrue(tally.addsUp());
+    }
+
     @Test
     void aLineOfAHundredMegabytesIsOneBadRow() throws IOException {
         Path file = folder.resolve("long.csv");
