Use the gateway's clock, one reading of buffers and one look-up where two stood

Need: a last reading of the whole change: the socket replays had a clock of their own beside WallClock, two copies of taking MINA's bytes, Pool.part took a largest twice and H2Carrier.giveUp ended in two like returns. Change: WallClock is public and Rig uses it; Buffers; the rest made plain. Behaviour stays as it was.

--- a/gateway/src/main/java/tillerlink/net/life/WallClock.java
+++ b/gateway/src/main/java/tillerlink/net/life/WallClock.java
@@ -3,19 +3,19 @@
 import java.time.Instant;
 
 /** Unix time in tenths of a millisecond as of the start, carried on evenly: a step of the clock does not show. */
-final class WallClock {
-    static final long NANOS_PER_TENTH = 100_000;
+public final class WallClock {
+    public static final long NANOS_PER_TENTH = 100_000;
     private static final long TENTHS_PER_SECOND = 10_000;
 
     private final long startNanos = System.nanoTime();
     private final long start;
 
-    WallClock() {
+    public WallClock() {
         Instant unix = Instant.now();
         start = unix.getEpochSecond() * TENTHS_PER_SECOND + unix.getNano() / NANOS_PER_TENTH;
     }
 
-    long now() {
+    public long now() {
         return start + (System.nanoTime() - startNanos) / NANOS_PER_TENTH;
     }
 }
--- a/http2/src/main/java/tillerlink/net/http2/H2Carrier.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Carrier.java
@@ -123,14 +123,12 @@
 
     @Override
     public Outcome giveUp(Flight flight) {
-        if (waiting.remove(flight)) {
-            return StreamEnd.CANCELLED.outcome(flight.begun(), flight.begun());
-        }
         for (H2Link link : links) {
             if (link.bears(flight)) {
                 return link.giveUp(flight);
             }
         }
+        waiting.remove(flight);
         return StreamEnd.CANCELLED.outcome(flight.begun(), flight.begun());
     }
 
--- a/http2/src/main/java/tillerlink/net/pool/Pool.java
+++ b/http2/src/main/java/tillerlink/net/pool/Pool.java
@@ -103,8 +103,7 @@
 
     /** How many connections an engine may have: its part of the fleet's bound, and never none while there is room. */
     public static int part(int linksMost, int links, int engines, int own) {
-        int part = Math.max(1, linksMost / Math.max(1, engines));
-        return links >= linksMost ? own : Math.max(part, 1);
+        return links >= linksMost ? own : Math.max(1, linksMost / Math.max(1, engines));
     }
 
     /** Whether a connection that bears nothing should be given up: idle for long, or old. */
--- a/tools/src/main/java/tillerlink/rig/ClientSockets.java
+++ b/tools/src/main/java/tillerlink/rig/ClientSockets.java
@@ -116,9 +116,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            IoBuffer buffer = (IoBuffer) message;
-            byte[] bytes = new byte[buffer.remaining()];
-            buffer.get(bytes);
+            byte[] bytes = Buffers.taken(message);
             Connection line = (Connection) session.getAttribute(LINE);
             post.accept(() -> line.heard(bytes));
         }
--- a/tools/src/main/java/tillerlink/rig/EngineSockets.java
+++ b/tools/src/main/java/tillerlink/rig/EngineSockets.java
@@ -182,9 +182,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            IoBuffer buffer = (IoBuffer) message;
-            byte[] bytes = new byte[buffer.remaining()];
-            buffer.get(bytes);
+            byte[] bytes = Buffers.taken(message);
             SocketPeer peer = (SocketPeer) session.getAttribute(PEER);
             post.accept(() -> peer.fed(bytes));
         }
--- a/tools/src/main/java/tillerlink/rig/Rig.java
+++ b/tools/src/main/java/tillerlink/rig/Rig.java
@@ -18,6 +18,7 @@
 import tillerlink.emulator.World;
 import tillerlink.fleet.Kind;
 import tillerlink.model.Engine;
+import tillerlink.net.life.WallClock;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.replay.Arrivals;
 import tillerlink.replay.Figures;
@@ -40,10 +41,9 @@
     private static final long AFTERWARDS = 10_000;
     private static final long TELL_EVERY = 10_000;
     private static final long LAG_MOST = 600_000;
-    private static final long NANOS_PER_TENTH = 100_000;
 
     private final Job job;
-    private final Clock clock = new Clock();
+    private final WallClock clock = new WallClock();
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Auditor auditor;
     private final World world;
@@ -244,7 +244,7 @@
     private void turn(long until) throws InterruptedException {
         world.timeline.follow(clock.now());
         long wait = Math.min(until, world.timeline.next()) - clock.now();
-        Runnable event = wait <= 0 ? queue.poll() : queue.poll(wait * NANOS_PER_TENTH, TimeUnit.NANOSECONDS);
+        Runnable event = wait <= 0 ? queue.poll() : queue.poll(wait * WallClock.NANOS_PER_TENTH, TimeUnit.NANOSECONDS);
         for (; event != null; event = queue.poll()) {
             world.timeline.follow(clock.now());
             event.run();
