Take lists of the name service up to the largest datagram, not 16 KB

Need: an installation of some hundreds of engines. An answer takes some 90 bytes an engine (SRV, A and TXT records), so 180 engines fill the 16,384 bytes that MinaDriver.DATAGRAM_MOST allowed; a longer answer was cut by the read, failed to parse ('it ends too early'), and no list, so no drain, was ever taken again.

Ruled out: the read buffer that shrinks after short answers; six answers of 60 bytes before one of 8,000 left it whole, MINA does not shrink it for datagrams. Change: a buffer of 65,535 bytes for datagrams.

--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -32,7 +32,8 @@
  */
 public final class MinaDriver implements Driver {
     private static final int READ_MOST = 8192;
-    private static final int DATAGRAM_MOST = 16_384;
+    /** No datagram is longer; one that is longer than the buffer it is read into would come cut, and be of no use. */
+    private static final int DATAGRAM_MOST = 65_535;
     private static final int BACKLOG = 256;
     private static final String PIPE = "pipe";
     /** Room beyond the bound of clients, for those that are just being accepted or closed. */
