Reach every engine of a fleet that has more engines than connections

At fault: LineCarrier.dial, links.size() >= owner.linksMost() / owner.engines(): 202 / 300 is 0, so each engine's part was no connection at all, and every submission ended without a hop. Ruled out: the bound of all connections (links=0 in the log) and the list itself (list=1, taken whole).

Change: an engine's part is one connection at the least; at the bound of all, the connection that has been idle longest, to any engine, ends for the new one (Carrier.Owner.roomForLink, EngineList.endIdle). Kept trace net-many-engines: nothing is dialed without it. On the platform's first size nothing changes: 36 engines leave a part of five or more.

--- a/gateway/src/main/java/tillerlink/net/state/Carrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -35,6 +35,12 @@
         /** How many are open or coming up now. */
         int links();
 
+        /**
+         * Whether one more may be opened. At the bound the one that has been idle longest, to any engine, ends for it:
+         * guards a fleet of more engines than connections, where those that are idle would lock the others out.
+         */
+        boolean roomForLink();
+
         /** How many engines are known. */
         int engines();
 
@@ -57,6 +63,16 @@
     /** Takes no new hops over what is open now: that leads to a process which is not the one listed. */
     void retireAll();
 
+    /** Since when its connection that has been idle longest bears nothing; {@link Long#MAX_VALUE} if none is idle. */
+    default long idleSince() {
+        return Long.MAX_VALUE;
+    }
+
+    /** Ends that connection. */
+    default void endIdle() {
+        // Where none is idle, none is ended.
+    }
+
     /** Whether nothing is left of it. */
     boolean isEmpty();
 
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -126,6 +126,11 @@
         return flights.size();
     }
 
+    /** Since when it bears nothing; {@link Long#MAX_VALUE} if it bears something or is coming up. */
+    long idleSince() {
+        return open && flights.isEmpty() ? idleSince : Long.MAX_VALUE;
+    }
+
     /** Whether it is still coming up. */
     boolean dialing() {
         return !open;
--- a/gateway/src/main/java/tillerlink/net/state/EngineList.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineList.java
@@ -81,6 +81,20 @@
         }
     }
 
+    /** Ends the connection that has been idle longest; false if none is idle. */
+    boolean endIdle() {
+        Carrier longest = null;
+        for (EngineSite site : sites.values()) {
+            if (site.carrier.idleSince() < (longest == null ? Long.MAX_VALUE : longest.idleSince())) {
+                longest = site.carrier;
+            }
+        }
+        if (longest != null) {
+            longest.endIdle();
+        }
+        return longest != null;
+    }
+
     int size() {
         return Math.max(1, sites.size());
     }
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -223,6 +223,11 @@
         return links;
     }
 
+    @Override
+    public boolean roomForLink() {
+        return links < linksMost || engines.endIdle();
+    }
+
     @Override
     public int engines() {
         return engines.size();
--- a/gateway/src/main/java/tillerlink/net/state/LineCarrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/LineCarrier.java
@@ -1,6 +1,7 @@
 package tillerlink.net.state;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import tillerlink.model.Engine;
 import tillerlink.model.Outcome;
@@ -59,7 +60,9 @@
 
     /** A new connection, or null if there is no room for it. */
     private EngineLink dial() {
-        if (owner.links() >= owner.linksMost() || links.size() >= owner.linksMost() / owner.engines()) {
+        // Each engine has its part, and one connection at the least: with more engines than connections, those that
+        // are in use pass from engine to engine.
+        if (links.size() >= Math.max(1, owner.linksMost() / owner.engines()) || !owner.roomForLink()) {
             return null;
         }
         EngineLink link = new EngineLink(this, owner.now());
@@ -124,6 +127,16 @@
         List.copyOf(links).forEach(link -> link.sweep(connectMost, idleMost));
     }
 
+    @Override
+    public long idleSince() {
+        return links.stream().mapToLong(EngineLink::idleSince).min().orElse(Long.MAX_VALUE);
+    }
+
+    @Override
+    public void endIdle() {
+        links.stream().min(Comparator.comparing(EngineLink::idleSince)).ifPresent(EngineLink::retire);
+    }
+
     @Override
     public void retireAll() {
         List.copyOf(links).forEach(EngineLink::retire);
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import tillerlink.model.Engine;
 import tillerlink.net.state.Break;
@@ -199,6 +200,18 @@
         s.engine(0, ID + " ok count=1 0||").answered().say("time is up").timeUp().get("c2", "00000000000000a2").answered().matches("net-drain");
     }
 
+    /** Guards large fleets: with more engines than connections, each engine is reached, and the longest idle one ends. */
+    @Test
+    void moreEnginesThanConnections() {
+        Stage s = new Stage().fleet(40, 12).say("40 engines, four connections: a hop on each");
+        for (int i = 0; i < 4; i++) {
+            s.post("c" + i, "00000000000000b" + i, "look").connected(i);
+        }
+        s.say("none is idle").post("c4", "00000000000000b4", "look").say("the second is idle longer than the first")
+                .engine(1, "00000000000000b1 ok count=1 0||").pass(20).engine(0, "00000000000000b0 ok count=1 0||");
+        s.post("c5", "00000000000000b5", "look").matches("net-many-engines");
+    }
+
     /** A driver that prints. Times are milliseconds; in what engines say, | is a line's end. */
     private static final class Stage implements Driver {
         private static final int TENTHS = 10;
@@ -208,6 +221,8 @@
         private final List<Printed> dialed = new ArrayList<>();
         private final List<Printed> unsent = new ArrayList<>();
         private final Map<String, Printed> clients = new LinkedHashMap<>();
+        private List<EngineEntry> fleet = List.of(entry("e1", "127.0.0.1"), entry("e2", "127.0.0.2"));
+        private int sockets = 1024;
         private long now = START;
         private int query;
         private boolean stuck;
@@ -232,12 +247,18 @@
             Map<String, Object> load = Map.of("name", "load", "semantics", "by_key", "aim_us", 1_000_000L, "hard_limit_us", 5_000_000L);
             Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book, load), "models", List.of("std"), "zones",
                     List.of("east"), "tick_us", 5000L, "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
-            EngineNews known = new EngineNews(1, true, List.of(entry("e1", "127.0.0.1"), entry("e2", "127.0.0.2")));
+            EngineNews known = new EngineNews(1, true, fleet);
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
-            gateway = new Gateway(new Assignment("n0", any, any, 7, 1024, terms, List.of(known)), Policy::new, this, now);
+            gateway = new Gateway(new Assignment("n0", any, any, 7, sockets, terms, List.of(known)), Policy::new, this, now);
             return turn(() -> { });
         }
 
+        Stage fleet(int engines, int descriptors) {
+            fleet = IntStream.range(1, engines + 1).mapToObj(i -> entry("e" + i, "127.0.0." + i)).toList();
+            sockets = descriptors;
+            return fresh();
+        }
+
         private static EngineEntry entry(String id, String address) {
             return new EngineEntry(id, address, 5050, "east", "std", 0, Engine.Standing.READY, 1, 0);
         }
@@ -355,7 +376,7 @@
 
         @Override
         public Pipe dial(InetSocketAddress to, Pipe.Owner owner) {
-            Printed pipe = new Printed("e" + to.getHostString().charAt(8) + "/" + dialed.size());
+            Printed pipe = new Printed("e" + to.getHostString().substring(8) + "/" + dialed.size());
             pipe.owner = owner;
             dialed.add(pipe);
             print("dial " + pipe.name);
