Take a truncated list for a part of it; look after connections by the connect time-out

An answer marked truncated was thrown away whole ('no answer, truncated, or a fault code'), with the drains that it told; one that lacked a single address was too. Now what it tells holds, what it does not tell stays as it was, and a whole answer of the same number is still news (EngineNews.partial, EngineList.filled).

An engine that has said once that it works is asked again after a whole time-out, not half; a hop just sent over a quiet connection is no reason to ask at once.

--- a/blind/src/main/java/tillerlink/blind/Memory.java
+++ b/blind/src/main/java/tillerlink/blind/Memory.java
@@ -160,7 +160,7 @@
         told = true;
         forgetOld(now);
         emit(now);
-        return new EngineNews(news.index(), news.whole(), entries);
+        return new EngineNews(news.index(), news.whole(), news.partial(), entries);
     }
 
     /** Whether a list that lost much of the fleet at once is not yet believed. */
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -36,6 +36,10 @@
     /** Closed because it held back what must not go out any more. */
     private boolean dropped;
     private long heardAt;
+    /** When a hop was last sent over it. */
+    private long sentAt;
+    /** Quiet for so long after both, it is asked whether it works. */
+    private long askAfter;
     private long idleSince;
     /** When it was asked whether it works and has not said anything since; 0 if it was not. */
     private long askedAt;
@@ -88,7 +92,10 @@
             end(Break.NEVER_UP);
         } else if (flights.isEmpty() && now >= idleSince + idleMost) {
             retire();
-        } else if (open && askedAt == 0 && !flights.isEmpty() && now >= heardAt + connectMost / 2) {
+        } else if (open && askedAt == 0 && !flights.isEmpty()
+                && now >= Math.max(heardAt, sentAt) + Math.max(askAfter, connectMost / 2)) {
+            // What has said once that it works is asked half as often until the next hop: each gateway asks each engine.
+            askAfter = connectMost;
             askedAt = now;
             write(EngineCommand.there(TAG));
         } else if (midwaySince > 0 && now >= midwaySince + connectMost) {
@@ -144,6 +151,8 @@
     void send(Flight flight) {
         flight.link = this;
         flights.put(flight.id(), flight);
+        sentAt = gateway.now();
+        askAfter = 0;
         if (open) {
             start(flight);
         }
--- a/gateway/src/main/java/tillerlink/net/state/EngineList.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineList.java
@@ -18,6 +18,8 @@
     private final List<?> kinds;
     private final List<?> zones;
     private long index;
+    /** The newest news that were not whole. */
+    private long partialIndex;
 
     private final Carrier.Owner owner;
     private final Carrier.Factory carriers;
@@ -31,13 +33,37 @@
 
     /** What is new in the news, or null if they are older than what is known. */
     List<Listed> take(EngineNews news) {
-        if (news.index() <= index) {
+        if (news.index() <= index || news.index() < partialIndex) {
             return null;
         }
-        index = news.index();
+        if (news.partial()) {
+            partialIndex = news.index();
+        } else {
+            index = news.index();
+        }
         return listed(news, Map.of());
     }
 
+    /**
+     * Partial news with what is known put in where only the standing was told. Guards the drain: it is obeyed though
+     * the rest of the answer was lost. What is not known yet can wait.
+     */
+    EngineNews filled(EngineNews news) {
+        if (!news.partial()) {
+            return news;
+        }
+        List<EngineEntry> entries = new ArrayList<>();
+        for (EngineEntry entry : news.entries()) {
+            EngineSite site = sites.get(entry.id());
+            if (entry.address() != null) {
+                entries.add(entry);
+            } else if (site != null && site.entry != null) {
+                entries.add(site.entry.as(entry.standing()));
+            }
+        }
+        return new EngineNews(news.index(), false, true, entries);
+    }
+
     /** What was remembered; any news are newer. */
     List<Listed> remember(Recall.Remembered remembered) {
         return listed(remembered.engines(), remembered.trust());
--- a/gateway/src/main/java/tillerlink/net/state/EngineSite.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineSite.java
@@ -9,6 +9,8 @@
     public final String id;
     public final Engine engine = new Engine(this);
     Carrier carrier;
+    /** As it was last told whole, or null. */
+    EngineEntry entry;
     private InetSocketAddress address;
     private long startedMs;
 
@@ -29,6 +31,7 @@
             }
             address = told;
             startedMs = entry.startedMs();
+            this.entry = entry;
         }
     }
 
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -27,7 +27,6 @@
  */
 public final class Gateway implements Orders, Carrier.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
-    private static final long SWEEP_EVERY = 50 * Units.TENTHS_PER_MS;
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
     private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
     private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
@@ -42,6 +41,8 @@
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
     private final long connectMost;
+    /** What is looked after on connections falls due after halves and wholes of the connect time-out. */
+    private final long sweepEvery;
     private final long idleMost;
     private final int linksMost;
     private int links;
@@ -83,6 +84,7 @@
         Named terms = new Named(plain);
         int streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
         connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
+        sweepEvery = Math.max(1, connectMost / 2);
         idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
@@ -118,7 +120,7 @@
     /** All that came in this turn was told: what is due follows, then the module settles once. */
     public void settle() {
         if (now >= sweepAt) {
-            sweepAt = now + SWEEP_EVERY;
+            sweepAt = now + sweepEvery;
             sweep();
         }
         if (now >= wakeAt) {
@@ -249,7 +251,8 @@
         }
     }
 
-    private void listed(EngineNews told) {
+    private void listed(EngineNews came) {
+        EngineNews told = engines.filled(came);
         boolean newer = told.index() > engines.index();
         EngineNews news = recall != null && newer ? recall.told(now, told) : told;
         List<Listed> entries = engines.take(news);
--- a/gateway/src/main/java/tillerlink/net/wire/Dns.java
+++ b/gateway/src/main/java/tillerlink/net/wire/Dns.java
@@ -22,6 +22,7 @@
     private static final int JUMPS_MOST = 64;
     private static final int NAME_MOST = 255;
     private static final int DRAINING = 1;
+    private static final int TRUNCATED = 0x0200;
     private static final double WEIGHT_UNIT = 10;
 
     private Dns() {
@@ -82,9 +83,10 @@
                 throw new IllegalArgumentException("a foreign id");
             }
             int flags = two(2);
-            if ((flags & 0x8000) == 0 || (flags & 0x0200) != 0 || (flags & 15) != 0) {
-                throw new IllegalArgumentException("no answer, truncated, or a fault code: flags " + flags);
+            if ((flags & 0x8000) == 0 || (flags & 15) != 0) {
+                throw new IllegalArgumentException("no answer, or a fault code: flags " + flags);
             }
+            boolean partial = (flags & TRUNCATED) != 0;
             for (int i = two(4); i > 0; i--) {
                 name();
                 at += 4;
@@ -93,7 +95,8 @@
             Map<String, String> addresses = new HashMap<>();
             Map<String, Map<String, String>> texts = new HashMap<>();
             long serial = -1;
-            for (int i = two(6) + two(8) + two(10); i > 0; i--) {
+            // A truncated answer may leave out whole records of any section, whatever its counts say.
+            for (int i = two(6) + two(8) + two(10); i > 0 && !(partial && at >= m.length); i--) {
                 String owner = name().toLowerCase(Locale.ROOT);
                 int type = two(at);
                 int end = at + 10 + two(at + 8);
@@ -116,25 +119,35 @@
                 at = end;
             }
             if (serial < 0) {
-                throw new IllegalArgumentException("no serial");
+                throw new IllegalArgumentException(partial ? "truncated before its serial" : "no serial");
             }
             List<EngineEntry> entries = new ArrayList<>();
             for (Service service : services) {
                 String owner = service.target.toLowerCase(Locale.ROOT);
-                entries.add(entry(service, addresses.get(owner), texts.get(owner)));
+                EngineEntry entry = entry(service, addresses.get(owner), texts.get(owner));
+                partial |= entry.address() == null;
+                entries.add(entry);
             }
-            return new EngineNews(serial, true, entries);
+            return new EngineNews(serial, !partial, partial, entries);
         }
 
+        /** Without its address or text, only the standing is told. */
         private static EngineEntry entry(Service service, String address, Map<String, String> text) {
             String[] labels = service.target.split("\\.");
-            if (address == null || text == null || labels.length < 2) {
-                throw new IllegalArgumentException("no address or text for " + service.target);
+            if (labels.length < 2) {
+                throw new IllegalArgumentException("no zone in " + service.target);
+            }
+            if (address == null || text == null) {
+                return new EngineEntry(labels[0], null, service.port, labels[1], "", 0, standing(service),
+                        service.weight / WEIGHT_UNIT, 0);
             }
             return new EngineEntry(labels[0], address, service.port, labels[1], text.getOrDefault("kind", ""),
                     (int) number(text.get("cell")),
-                    service.priority == DRAINING ? Engine.Standing.DRAINING : Engine.Standing.READY,
-                    service.weight / WEIGHT_UNIT, number(text.get("started")));
+                    standing(service), service.weight / WEIGHT_UNIT, number(text.get("started")));
+        }
+
+        private static Engine.Standing standing(Service service) {
+            return service.priority == DRAINING ? Engine.Standing.DRAINING : Engine.Standing.READY;
         }
 
         private static long number(String text) {
--- a/gateway/src/main/java/tillerlink/net/wire/EngineNews.java
+++ b/gateway/src/main/java/tillerlink/net/wire/EngineNews.java
@@ -2,6 +2,14 @@
 
 import java.util.List;
 
-/** News of the name service: the number of its last event, and all engines or only what changed. */
-public record EngineNews(long index, boolean whole, List<EngineEntry> entries) {
+/**
+ * News of the name service: the number of its last event, and all engines or only what changed.
+ *
+ * @param partial an answer that did not hold all it should have: what it tells holds, what it does not tell stays as it
+ *                was, and a whole answer of the same number is still news
+ */
+public record EngineNews(long index, boolean whole, boolean partial, List<EngineEntry> entries) {
+    public EngineNews(long index, boolean whole, List<EngineEntry> entries) {
+        this(index, whole, false, entries);
+    }
 }
