Bound threads by the pace seen, not by a share alone; draw lots for cold engines

Two things that are harmless in one gateway and cost most in a hundred.

At fault: Policy.survey, 'crowded = ... || spent(ONE) || spent(LAST)': the sum of threads out is capped at 1.5 times this gateway's one part in 40 of the fleet, whether or not anything is slow, and a gateway may have several times the mean traffic.

At fault: Policy.coldRoom: a hundredth of what a cold engine bears in the span is 63 ms of work on 8 cores, less than any hop, so nobody used a cold engine until it was warm. Change: where the part is less than a hop, a lot drawn each span lets a hop through with the chance of part to hop, so the sum over all gateways stays what it may be. Test: 200 gateways and one cold engine.

--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -97,6 +97,8 @@
     private final SlidingSum taken;
     private final SlidingSum further;
     private final DecayingSum payoffSeen;
+    /** The pace of all hops that ended of late, in times of their tracks' best. */
+    private final DecayingMean lately;
 
     public Policy(long now, long seed, Map<String, Object> values, Orders orders) {
         this.orders = orders;
@@ -128,6 +130,7 @@
         taken = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
         further = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
         payoffSeen = new DecayingSum(mostSoftLimit * 16.0);
+        lately = new DecayingMean(mostSoftLimit, 1, 2);
         tracks.forEach(track -> track.workSeen = new DecayingSum(mostSoftLimit * 16.0));
         followWanted = settings.text("discovery").equals("ask");
     }
@@ -649,9 +652,10 @@
     }
 
     /**
-     * Sums up the ready engines. Pressure or doubt at a quarter of them, or a full pool, bounds all. Guards
-     * against a chain of falls: what these may not have would all go to the next that shows nothing yet. It
-     * may hurt while the rest are idle.
+     * Sums up the ready engines. Pressure or doubt at a quarter of them bounds all, and so does a full pool, but
+     * while the hops of late came back at an easy pace: a gateway may have several times its share of the
+     * traffic. Guards against a chain of falls: what these may not have would all go to the next that shows
+     * nothing yet. It may hurt while the rest are idle.
      */
     private void survey(long now) {
         int ready = 0;
@@ -691,7 +695,8 @@
             poolBounds[under ? 1 : 0] += bound(engine);
             poolThreads[under ? 1 : 0] += threads(now, engine);
         }
-        crowded = pressed >= CROWD * ready || spent(Room.ONE) || spent(Room.LAST);
+        boolean easy = lately.weight(now) >= ENOUGH && lately.at(now) < EASY;
+        crowded = pressed >= CROWD * ready || !easy && (spent(Room.ONE) || spent(Room.LAST));
         fleetPace = sound == 0 ? 1 : paces / sound;
         usualBusy /= Math.max(1, heard);
     }
@@ -792,9 +797,24 @@
         if (warmth >= 1 || fallSpan <= 0) {
             return true;
         }
-        double most = settings.amount("guarantees.fall_multiple", 1) * warmth * cores(engine) * fallSpan
-                / gateways * COLD_USE;
-        return now >= startedAt + fallSpan && engine.workSent.most(now) + COLD_ROOM * work <= most;
+        double all = settings.amount("guarantees.fall_multiple", 1) * warmth * cores(engine) * fallSpan * COLD_USE;
+        double most = all / gateways;
+        double sent = engine.workSent.most(now);
+        double need = COLD_ROOM * work;
+        return now >= startedAt + fallSpan
+                && (sent + need <= most || sent == 0 && need <= all && lot(now, engine) * need <= most);
+    }
+
+    /**
+     * Drawn anew each span. Guards a cold engine that no gateway would use, since each one's part of what it bears is
+     * less than a hop: the chance of a hop is that part in hops, so the sum over all gateways stays what it may be.
+     */
+    private double lot(long now, Engine engine) {
+        if (now >= engine.lotUntil) {
+            engine.lot = 1 - random.nextDouble();
+            engine.lotUntil = now + fallSpan;
+        }
+        return engine.lot;
     }
 
     // ---- hops ----
@@ -983,7 +1003,9 @@
             double mean = track.pace.at(now);
             track.bestPace = track.bestPace == 0 ? mean : Math.min(track.bestPace, mean);
         }
-        hop.engine.pace.add(now, Math.min(PACE_CAP, pace / track.best()), 1);
+        double timesBest = Math.min(PACE_CAP, pace / track.best());
+        hop.engine.pace.add(now, timesBest, 1);
+        lately.add(now, timesBest, 1);
         adjustBound(now, hop.engine);
     }
 
--- a/gateway/src/main/java/tillerlink/model/Engine.java
+++ b/gateway/src/main/java/tillerlink/model/Engine.java
@@ -33,6 +33,9 @@
     public DecayingSum threadsLost;
     public DecayingMean pace;
     public SlidingSum workSent;
+    /** This gateway's lot while the engine is cold, and until when it holds. */
+    public double lot;
+    public long lotUntil = Long.MIN_VALUE;
     public double boundFactor;
     public long pressedUntil = Long.MIN_VALUE;
     /** When it last dropped a connection with a hop on it. */
--- a/gateway/src/test/java/tillerlink/PolicyTest.java
+++ b/gateway/src/test/java/tillerlink/PolicyTest.java
@@ -1,5 +1,6 @@
 package tillerlink;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tillerlink.model.Engine.Standing.DRAINING;
 import static tillerlink.model.Engine.Standing.GONE;
 import static tillerlink.model.Engine.Standing.READY;
@@ -12,6 +13,7 @@
 import static tillerlink.model.Outcome.UNREACHABLE;
 
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /** Each test plays a short story and compares what the module ordered with the trace kept for it. */
@@ -55,6 +57,35 @@
         t.matches("bounds-all");
     }
 
+    /**
+     * Guards a gateway with several times the traffic of the others: while its hops come back at an easy pace, a sum of
+     * threads over its share of the fleet is no reason to hold or turn back. At a pace far above the best, it is.
+     */
+    @Test
+    void moreThanAShareMayBeOutWhileThePaceIsEasy() {
+        Trace t = new Trace().set("instances", 8L).up("a0", "b0");
+        for (int i = 1; i <= 12; i++) {
+            t.arrive("k" + i, 0, 100, i, null).pass(100).end("k" + i, FULFILLED);
+        }
+        t.say("an easy pace: eight are out, of a share of two threads");
+        for (int i = 1; i <= 8; i++) {
+            t.arrive("s" + i, 0, 100, i, null);
+        }
+        t.pass(190);
+        for (int i = 1; i <= 8; i++) {
+            t.end("s" + i, FULFILLED).arrive("t" + i, 0, 100, i, null);
+        }
+        t.pass(190);
+        for (int i = 1; i <= 8; i++) {
+            t.end("t" + i, FULFILLED);
+        }
+        t.say("all took nearly twice as long, on no engine far too long: now the sum is bounded");
+        for (int i = 1; i <= 8; i++) {
+            t.arrive("u" + i, 0, 100, i, null);
+        }
+        t.matches("easy-pace");
+    }
+
     @Test
     void whereAShareIsLessThanAQueryTheJammedEngineComesLast() {
         Trace t = new Trace().set("instances", 10L, "family_info.width_by_class", List.of(1, 3),
@@ -118,6 +149,25 @@
         t.matches("cold");
     }
 
+    /**
+     * Guards a cold engine that each of many gateways has less than a hop for: all together they use it, and send no
+     * more in any span than it may have. Without lots nobody uses it until it is warm.
+     */
+    @Test
+    void manyGatewaysShareAColdEngineByLot() {
+        for (long seed : new long[] {1, 2, 3}) {
+            Random seeds = new Random(seed);
+            long sent = 0;
+            for (int i = 0; i < 200; i++) {
+                Trace t = new Trace().set("instances", 200L).seed(seeds.nextLong()).up().pass(5000).list("b0", READY, 1);
+                t.arrive("s1", 0, 100);
+                sent += t.sends();
+            }
+            // 8 cores x 0.3 x 2.5 x 1.5 s is 9 s of work; a third of that, half of it kept for estimates, in hops of 0.1 s.
+            assertTrue(sent >= 6 && sent <= 28, sent + " hops at seed " + seed);
+        }
+    }
+
     @Test
     void restartedGatewayLeavesColdEnginesAloneAtFirst() {
         Trace t = new Trace().up().list("a0", READY, 1000);
@@ -172,7 +222,7 @@
         Trace t = new Trace().up("a0").pass(5000);
         t.arrive("s0", 0, 100, 1, null).arrive("s1", 0, 100, 1, null).list("b0", READY, 0).end("s0", SEVERED).end("s1", SEVERED);
         t.pass(100).end("s0", FULFILLED).end("s1", FULFILLED).pass(7000);
-        t.say("in doubt no more, but perhaps cold: no room there for 2 s of work, for 100 ms there is");
+        t.say("in doubt no more, but perhaps cold: no room there for 2 s of work but by lot, for 100 ms there is");
         for (int i = 2; i <= 5; i++) {
             t.arrive("big" + i, 0, 2000, i, null);
         }
--- a/gateway/src/test/java/tillerlink/Trace.java
+++ b/gateway/src/test/java/tillerlink/Trace.java
@@ -31,6 +31,7 @@
     private final Map<String, KeyLine> lines = new LinkedHashMap<>();
     private final StringBuilder printed = new StringBuilder();
     private Policy policy;
+    private long seed = 7;
     private long now = START;
     private long patience = 50000;
     private long wakeAt = Long.MAX_VALUE;
@@ -63,8 +64,18 @@
         return this;
     }
 
+    Trace seed(long other) {
+        seed = other;
+        return this;
+    }
+
+    /** How many hops were sent so far. */
+    long sends() {
+        return printed.toString().lines().filter(line -> line.contains("  send ")).count();
+    }
+
     Trace up(String... ready) {
-        policy = new Policy(now, 7, settings, this);
+        policy = new Policy(now, seed, settings, this);
         for (String name : ready) {
             list(name, Engine.Standing.READY, 0);
         }
