Take SIGHUP from the first moment on; end with the reason when a thread of I/O dies

Seen: a JVM that has no handler ends on SIGHUP, and Node set its handler after the rehearsal, 0.3 to 2 s after its start; hangUpsWhileItStarts sends three then, and the old text ended. An Error on MINA's thread for reading (it catches Exceptions only) left a process that lives and serves nobody: Main.died ends it with the reason on standard error. One line tells at the start what it starts with. No thread was seen to die so; the handler is a guard.

--- a/gateway/src/main/java/tillerlink/Main.java
+++ b/gateway/src/main/java/tillerlink/Main.java
@@ -18,10 +18,23 @@
         System.exit(run(args));
     }
 
+    /**
+     * Guards against a process that lives on and serves nobody, since its thread for reading and writing died: it ends
+     * with the reason on standard error, and is started anew.
+     */
+    private static void died(Thread thread, Throwable why) {
+        System.err.println("tillerlink: the thread '" + thread.getName() + "' died");
+        why.printStackTrace();
+        Runtime.getRuntime().halt(FAULT);
+    }
+
     private static int run(String[] args) {
         try {
             switch (args.length == 1 ? args[0] : "") {
-                case "serve" -> new Node().serve(System.getenv(), Policy::new);
+                case "serve" -> {
+                    Thread.setDefaultUncaughtExceptionHandler(Main::died);
+                    new Node().serve(System.getenv(), Policy::new);
+                }
                 case "wirehost" -> new WireHost(Policy::new).serve(System.in, System.out);
                 default -> {
                     System.err.println("usage: java -jar tillerlink.jar serve|wirehost");
--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -31,6 +31,7 @@
     private final WallClock clock = new WallClock();
     private final Turns turns = new Turns(clock::now);
     private final CountDownLatch ended = new CountDownLatch(1);
+    private MinaDriver driver;
     private Gateway gateway;
     private long drainedFrom = Long.MAX_VALUE;
     private boolean broken;
@@ -52,18 +53,22 @@
             throw new IOException("EDGE_CONFIG names no file");
         }
         Path path = Path.of(file);
+        // From the first moment on, for a JVM that nobody told otherwise ends on this signal.
+        boolean heard = onHangUp(() -> reload(path));
         Assignment assignment = Assignment.read(path);
+        LOG.info("{} starts with {} engines known, {} descriptors", assignment.name(),
+                assignment.known().stream().mapToInt(news -> news.entries().size()).sum(), assignment.sockets());
         try {
             new Rehearsal(assignment, modules, clock.now()).play();
         } catch (RuntimeException e) {
             LOG.warn("the rehearsal broke off; the gateway starts without", e);
         }
-        MinaDriver driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
+        driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now(), carriers, recalls.apply(assignment));
-        if (!onHangUp(() -> reload(path, driver))) {
+        if (!heard) {
             LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
-            new Watch(path, () -> reload(path, driver)).start();
+            new Watch(path, () -> reload(path)).start();
         }
         driver.listen(assignment.listen());
         LOG.info("{} listens on {}", assignment.name(), assignment.listen());
@@ -89,7 +94,7 @@
      * says now; all else goes on. Runs on a thread of the signal's own, one after the other: of two that come at once,
      * the later reading holds.
      */
-    private synchronized void reload(Path path, MinaDriver driver) {
+    private synchronized void reload(Path path) {
         try {
             InetSocketAddress resolver = Assignment.read(path).resolver();
             turns.queue.add(() -> driver.askAt(resolver));
--- a/gateway/src/test/java/tillerlink/ServeTest.java
+++ b/gateway/src/test/java/tillerlink/ServeTest.java
@@ -116,6 +116,23 @@
         }
     }
 
+    /** Guards the start: signals that come before it listens neither end it nor are lost. */
+    @Test
+    void hangUpsWhileItStarts() throws Exception {
+        Process gateway = start(configuration());
+        gateway.errorReader(StandardCharsets.UTF_8).readLine();
+        names.close();
+        names = new DatagramSocket(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+        names.setSoTimeout((int) PATIENCE.toMillis());
+        Files.writeString(folder.resolve("configuration.json"), configuration());
+        for (int i = 0; i < 3; i++) {
+            hangUp(gateway);
+        }
+        awaitHealth();
+        names.receive(new DatagramPacket(new byte[512], 512));
+        assertTrue(gateway.isAlive());
+    }
+
     /** Guards against a gateway that ends on SIGHUP, or that goes on asking where nobody answers any more. */
     @Test
     void readsItsConfigurationAgain() throws Exception {
