Ask the name service once in a drain's grace, out of step, and quickly after a loss

Need: 100 gateways asked 500 times a second, five times each, whatever happened; the drain rule needs what an answer tells to be heeded within the grace (500 ms) after it was sent. Idle, a gateway woke 10 of its 31 times a second for it (voluntary switches over 5 s). Change: once in a grace, a little earlier by a draw, from a first moment drawn at the start, so that a fleet restarted at one moment does not ask in step; without an answer again after a quarter of it, then at growing waits down to once in a grace.

--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -30,6 +30,7 @@
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
     private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
     private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
+    private static final long GRACE = 500 * Units.TENTHS_PER_MS;
     private static final int HEAP_SHARE = 4;
 
     private final Driver driver;
@@ -93,7 +94,7 @@
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
-        names = new NameService(driver, assignment.seed());
+        names = new NameService(driver, assignment.seed(), now, terms.number("guarantees.drain_grace", GRACE));
         steering = factory.start(now, assignment.seed(), plain, this);
         assignment.known().forEach(this::listed);
         if (recall != null && assignment.known().stream().allMatch(news -> news.entries().isEmpty())) {
--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -4,27 +4,43 @@
 import java.util.Random;
 import tillerlink.net.wire.Dns;
 import tillerlink.net.wire.EngineNews;
-import tillerlink.plain.Units;
 
-/** What was asked of the name service: an answer counts once, and only if it is one of the latest questions'. */
+/**
+ * What was asked of the name service: an answer counts once, and only if it is one of the latest questions'.
+ *
+ * <p>Each gateway asks once in the grace of a drain: what an answer tells must be known here a grace after it was sent,
+ * and the service counts what it did not send as told only some graces later. A question whose answer does not come is
+ * asked again after a quarter of that, at growing waits once many were lost. The period is drawn anew each time: guards the service
+ * against a fleet that was started at one moment and would ask in step for good.
+ */
 final class NameService {
-    private static final long EVERY = 200 * Units.TENTHS_PER_MS;
     private static final int KEPT = 8;
+    private static final int QUICK = 4;
+    private static final double SPREAD = 0.2;
 
     private final ArrayDeque<Integer> asked = new ArrayDeque<>();
-    private final Random ids;
+    private final Random random;
     private final Driver driver;
+    private final long period;
+    private long lastAt;
     private long nextAt;
+    /** Questions since the last answer. */
+    private int unanswered;
 
-    NameService(Driver driver, long seed) {
+    /** @param grace how long after an answer was sent what it tells must be heeded */
+    NameService(Driver driver, long seed, long now, long grace) {
         this.driver = driver;
-        ids = new Random(seed);
+        random = new Random(seed);
+        period = Math.max(1, grace);
+        nextAt = now + (long) (period * random.nextDouble());
     }
 
     void sweep(long now) {
         if (now >= nextAt) {
-            nextAt = now + EVERY;
-            int id = ids.nextInt(1 << 16);
+            long wait = Math.min(period, period / QUICK << Math.max(0, Math.min(2 * QUICK, unanswered++) - QUICK));
+            lastAt = now;
+            nextAt = now + Math.max(1, wait);
+            int id = random.nextInt(1 << 16);
             asked.addLast(id);
             if (asked.size() > KEPT) {
                 asked.removeFirst();
@@ -39,6 +55,9 @@
         if (!asked.remove((Integer) id)) {
             throw new IllegalArgumentException("an answer to no question of ours");
         }
-        return Dns.answer(datagram, id);
+        EngineNews news = Dns.answer(datagram, id);
+        unanswered = 0;
+        nextAt = lastAt + (long) (period * (1 - SPREAD * random.nextDouble()));
+        return news;
     }
 }
