Let a cold engine that was drawn by lot come first among ties

Ruled out: doubt (0.24 engines a gateway), the list (36 of 36 ready), the lots themselves (drawn; the chance is part to hop). At fault: Policy.fewest: a lot that was drawn still met the chance draw by cores among some 30 ties, in which a cold engine comes up once in a hundred, and a gateway sends some ten hops in the span for which the lot holds.

--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -48,7 +48,7 @@
     private static final double TRIAL_CLEARS = 0.8; // share of the other record that a trial wipes out
     private static final double QUIET = 4; // silence of this many expected times is suspicious
     private static final double QUIET_NOTES = 1.3; // silence of this many periods of notes is suspicious
-    private static final double TRUSTED = 0.5; // from here on one answer makes up for a list that is remembered
+    private static final double TRUSTED = 0.5; // from here on one answer makes up for a remembered list
     // Bad plans.
     private static final double BAD_PLAN = 4; // a hop projected at this many times the usual has a bad plan
     private static final double UNKNOWN = 2; // times the usual while too little of a track was seen
@@ -166,8 +166,9 @@
         }
         for (Listed entry : entries) {
             Engine engine = entry.engine();
-            if (!engines.contains(engine)) {
+            if (!engine.known) {
                 prepare(engine);
+                engine.known = true;
                 engines.add(engine);
             }
             if (entry.startedAt() != engine.startedAt) {
@@ -180,10 +181,15 @@
             engine.startedAt = entry.startedAt();
             engine.trust = entry.trust();
         }
-        engines.removeIf(e -> e.standing == Engine.Standing.GONE && e.out.isEmpty());
+        engines.removeIf(this::forgotten);
         followAgainAt = Long.MAX_VALUE;
     }
 
+    private boolean forgotten(Engine engine) {
+        engine.known = engine.standing != Engine.Standing.GONE || !engine.out.isEmpty();
+        return !engine.known;
+    }
+
     private void prepare(Engine engine) {
         engine.outByTrack = new int[tracks.size()];
         engine.successes = new DecayingSum(mostSoftLimit * 4.0);
@@ -517,9 +523,9 @@
     }
 
     /**
-     * Guards a start from a remembered list: until an engine of it has answered, few hops go there, and none that
-     * must not run twice or is bound to some engines; of an old list these wait until it is confirmed. It may hurt
-     * a gateway that has little else.
+     * Guards a start from a remembered list: until an engine of it has answered, few hops go there, and none
+     * that must not run twice or is bound to some engines; of an old list these wait until it is confirmed.
+     * It may hurt a gateway that has little else.
      */
     private boolean proven(Submission s, Engine engine) {
         boolean heard = engine.heardAt >= startedAt;
@@ -562,11 +568,12 @@
         double bestRating = Double.MAX_VALUE;
         for (Engine engine : candidates) {
             // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a
-            // hot group would heap its long queries there. Then the least load, with a chance draw by cores:
-            // guards against many gateways that know little and would choose alike. It costs crossings.
+            // hot group would heap its long queries there. Before it comes a cold engine that was drawn: a
+            // lot that finds no hop leaves it idle. Then the least load, with a chance draw by cores: guards
+            // against many gateways that know little and would choose alike. It costs crossings.
             boolean warm = engine.groups.contains(s.tableGroup) && engine.load <= usualLoad + 1e-9;
             double chance = -Math.log(1 - random.nextDouble()) / engine.spareCores;
-            double rating = (warm ? 0 : 1000) + engine.load + chance;
+            double rating = (engine.byLot ? -1000 : warm ? 0 : 1000) + engine.load + chance;
             if (rating < bestRating) {
                 bestRating = rating;
                 best = engine;
@@ -652,10 +659,10 @@
     }
 
     /**
-     * Sums up the ready engines. Pressure or doubt at a quarter of them bounds all, and so does a full pool, but
-     * while the hops of late came back at an easy pace: a gateway may have several times its share of the
-     * traffic. Guards against a chain of falls: what these may not have would all go to the next that shows
-     * nothing yet. It may hurt while the rest are idle.
+     * Sums up the ready engines. Pressure or doubt at a quarter of them bounds all, and so does a full pool,
+     * but while the hops of late came back at an easy pace: a gateway may have several times its share of
+     * the traffic. Guards against a chain of falls: what these may not have would all go to the next that
+     * shows nothing yet. It may hurt while the rest are idle.
      */
     private void survey(long now) {
         int ready = 0;
@@ -794,20 +801,25 @@
     /** Guards a cold engine: this gateway's part of the span; one just started may have spent it before. */
     private boolean coldRoom(long now, Engine engine, double work) {
         double warmth = warmth(now, engine);
+        engine.byLot = false;
         if (warmth >= 1 || fallSpan <= 0) {
             return true;
         }
-        double all = settings.amount("guarantees.fall_multiple", 1) * warmth * cores(engine) * fallSpan * COLD_USE;
+        double bears = settings.amount("guarantees.fall_multiple", 1) * warmth * cores(engine);
+        double all = bears * fallSpan * COLD_USE;
         double most = all / gateways;
         double sent = engine.workSent.most(now);
         double need = COLD_ROOM * work;
-        return now >= startedAt + fallSpan
-                && (sent + need <= most || sent == 0 && need <= all && lot(now, engine) * need <= most);
+        boolean room = now >= startedAt + fallSpan;
+        engine.byLot = room && sent + need > most && sent == 0 && need <= all
+                && lot(now, engine) * need <= most;
+        return room && (sent + need <= most || engine.byLot);
     }
 
     /**
-     * Drawn anew each span. Guards a cold engine that no gateway would use, since each one's part of what it bears is
-     * less than a hop: the chance of a hop is that part in hops, so the sum over all gateways stays what it may be.
+     * Drawn anew each span. Guards a cold engine that no gateway would use, since each one's part of what it
+     * bears is less than a hop: the chance of a hop is that part in hops, so the sum over all gateways stays
+     * what it may be.
      */
     private double lot(long now, Engine engine) {
         if (now >= engine.lotUntil) {
--- a/gateway/src/main/java/tillerlink/model/Engine.java
+++ b/gateway/src/main/java/tillerlink/model/Engine.java
@@ -15,6 +15,8 @@
     public int zone;
     public int cell;
     public Standing standing = Standing.GONE;
+    /** The module counts with it; kept here, since looking it up in a list of a thousand for each of a thousand costs. */
+    public boolean known;
     public long startedAt;
     /** Below 1 while it is only remembered from before this gateway's start. */
     public double trust = 1;
@@ -36,6 +38,8 @@
     /** This gateway's lot while the engine is cold, and until when it holds. */
     public double lot;
     public long lotUntil = Long.MIN_VALUE;
+    /** It has room for the submission last weighed by that lot alone. */
+    public boolean byLot;
     public double boundFactor;
     public long pressedUntil = Long.MIN_VALUE;
     /** When it last dropped a connection with a hop on it. */
--- a/gateway/src/test/java/tillerlink/PolicyTest.java
+++ b/gateway/src/test/java/tillerlink/PolicyTest.java
@@ -168,6 +168,18 @@
         }
     }
 
+    /** Guards the cold engine that was drawn: among engines that hold as little, it comes first, or the lot is lost. */
+    @Test
+    void aDrawnColdEngineComesFirst() {
+        Random seeds = new Random(4);
+        long sent = 0;
+        for (int i = 0; i < 200; i++) {
+            Trace t = new Trace().set("instances", 200L).seed(seeds.nextLong()).up("a0", "b0", "c0", "d0").pass(5000);
+            sent += t.list("x0", READY, 1).arrive("s1", 0, 100).sendsTo("x0");
+        }
+        assertTrue(sent >= 6 && sent <= 28, sent + " hops");
+    }
+
     @Test
     void restartedGatewayLeavesColdEnginesAloneAtFirst() {
         Trace t = new Trace().up().list("a0", READY, 1000);
--- a/gateway/src/test/java/tillerlink/Trace.java
+++ b/gateway/src/test/java/tillerlink/Trace.java
@@ -74,6 +74,10 @@
         return printed.toString().lines().filter(line -> line.contains("  send ")).count();
     }
 
+    long sendsTo(String engine) {
+        return printed.toString().lines().filter(line -> line.contains("  send ") && line.contains("-> " + engine)).count();
+    }
+
     Trace up(String... ready) {
         policy = new Policy(now, seed, settings, this);
         for (String name : ready) {
