--- a/gateway/src/test/java/tillerlink/ServeTest.java
+++ b/gateway/src/test/java/tillerlink/ServeTest.java
@@ -133,6 +133,25 @@
         assertTrue(gateway.isAlive());
     }
 
+    /** Guards a restart in step: told to end before it listens, it ends at once; told twice while it serves, as once. */
+    @Test
+    void endsWheneverItIsTold() throws Exception {
+        Process early = start(configuration());
+        early.errorReader(StandardCharsets.UTF_8).readLine();
+        early.destroy();
+        assertTrue(early.waitFor(5, TimeUnit.SECONDS));
+        Process twice = start(configuration());
+        awaitHealth();
+        CompletableFuture<String> slow = CompletableFuture.supplyAsync(() -> ask("00000000000000a4", "slow", 200));
+        Thread.sleep(300);
+        for (int i = 0; i < 5; i++) {
+            twice.destroy();
+            hangUp(twice);
+        }
+        assertEquals("{\"records\":[[\"slow\",\"look\",\"\"],[\"page\",\"1\",\"\"]]}", slow.get(10, TimeUnit.SECONDS));
+        assertTrue(twice.waitFor(10, TimeUnit.SECONDS));
+    }
+
     /** Guards against a gateway that ends on SIGHUP, or that goes on asking where nobody answers any more. */
     @Test
     void readsItsConfigurationAgain() throws Exception {
