--- a/gateway/src/main/java/tillerlink/net/life/Turns.java
+++ b/gateway/src/main/java/tillerlink/net/life/Turns.java
@@ -47,10 +47,14 @@
         return tenths <= 0 ? queue.poll() : queue.poll(tenths * WallClock.NANOS_PER_TENTH, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * One event that fails takes nothing else with it: also one whose classes can't be read any more, since the jar was
+     * replaced under the process, or that went too deep. Other errors say that the process is at its end.
+     */
     private static void guarded(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | LinkageError | StackOverflowError e) {
             LOG.error("an internal fault; the gateway goes on", e);
         }
     }
--- a/gateway/src/test/java/tillerlink/net/life/TurnsTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/TurnsTest.java
@@ -3,11 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import tillerlink.Policy;
 import tillerlink.model.Engine;
@@ -43,6 +50,44 @@
         assertEquals(List.of("settle", "heard", "woken", "settle"), happened);
     }
 
+    /** Guards what is beside an event that fails: seen as a process that ended on a class which could not be loaded. */
+    @Test
+    void anEventThatFailsTakesNothingElseWithIt() throws InterruptedException {
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
+        Assignment assignment = new Assignment("n0", any, any, 7, 1024, Map.of(), List.of());
+        turns = new Turns(() -> now);
+        Gateway gateway = new Gateway(assignment, (now, seed, settings, orders) -> steering(orders), new Mute(), START);
+        turns.queue.add(() -> {
+            throw new NoClassDefFoundError("Late");
+        });
+        turns.queue.add(() -> {
+            throw new StackOverflowError();
+        });
+        turns.queue.add(() -> {
+            throw new IllegalStateException();
+        });
+        turns.queue.add(() -> happened.add("the next"));
+        turns.run(gateway, () -> happened.contains("the next"));
+    }
+
+    /**
+     * Guards a process whose jar is replaced under it: each of its classes comes from the archive that the build writes,
+     * also those first needed in trouble. When this fails, add the name that it prints to deploy/classes.lst.
+     */
+    @Test
+    void everyClassIsInTheArchive() throws IOException, URISyntaxException {
+        Set<String> listed = Set.copyOf(Files.readAllLines(Path.of("..", "deploy", "classes.lst")).stream()
+                .map(line -> line.split(" ")[0]).collect(Collectors.toSet()));
+        Path classes = Path.of(Turns.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        try (Stream<Path> files = Files.walk(classes.resolve("tillerlink"))) {
+            List<String> missing = files.map(file -> classes.relativize(file).toString().replace('\\', '/'))
+                    .filter(name -> name.endsWith(".class") && !name.contains("wirehost"))
+                    .map(name -> name.substring(0, name.length() - ".class".length()))
+                    .filter(name -> !listed.contains(name)).toList();
+            assertEquals(List.of(), missing);
+        }
+    }
+
     /** Guards the first seconds: all that a submission passes through has been played often enough to be compiled. */
     @Test
     void theRehearsalPlaysSubmissionsToTheirEnd() {
