--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -10,8 +10,8 @@
  *
  * <p>Each gateway asks once in the grace of a drain: what an answer tells must be known here a grace after it was sent,
  * and the service counts what it did not send as told only some graces later. A question whose answer does not come is
- * asked again after a quarter of that, at growing waits once many were lost. The period is drawn anew each time: guards the service
- * against a fleet that was started at one moment and would ask in step for good.
+ * asked again after a quarter of that, at growing waits once many were lost. The period is drawn anew each time: guards
+ * the service against a fleet that was started at one moment and would ask in step for good.
  */
 final class NameService {
     private static final int KEPT = 8;
