--- a/gateway/src/main/java/tillerlink/model/Engine.java
+++ b/gateway/src/main/java/tillerlink/model/Engine.java
@@ -15,7 +15,7 @@
     public int zone;
     public int cell;
     public Standing standing = Standing.GONE;
-    /** The module counts with it; kept here, since looking it up in a list of a thousand for each of a thousand costs. */
+    /** The module counts with it; kept here, since a look-up in a list of a thousand for each of a thousand costs. */
     public boolean known;
     public long startedAt;
     /** Below 1 while it is only remembered from before this gateway's start. */
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -94,7 +94,7 @@
             retire();
         } else if (open && askedAt == 0 && !flights.isEmpty()
                 && now >= Math.max(heardAt, sentAt) + Math.max(askAfter, connectMost / 2)) {
-            // What has said once that it works is asked half as often until the next hop: each gateway asks each engine.
+            // What has said once that it works is asked half as often until the next hop: all gateways ask all engines.
             askAfter = connectMost;
             askedAt = now;
             write(EngineCommand.there(TAG));
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -260,7 +260,8 @@
                     5_000_000L, "worth", 1.0, "late_worth", 0.5);
             Map<String, Object> load = Map.of("name", "load", "semantics", "by_key", "aim_us", 1_000_000L, "hard_limit_us", 5_000_000L);
             Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book, load), "models", List.of("std"), "zones",
-                    List.of("east"), "tick_us", 5000L, "guarantees", Map.of("drain_grace_us", 100_000L), "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
+                    List.of("east"), "tick_us", 5000L, "guarantees", Map.of("drain_grace_us", 100_000L),
+                    "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
             EngineNews known = new EngineNews(1, true, fleet);
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
             gateway = new Gateway(new Assignment("n0", any, any, 7, sockets, terms, List.of(known)), Policy::new, this, now);
