--- /dev/null
+++ b/gateway/src/main/java/tillerlink/net/state/Discovery.java
@@ -0,0 +1,66 @@
+package tillerlink.net.state;
+
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tillerlink.model.Listed;
+import tillerlink.net.wire.EngineNews;
+import tillerlink.port.Steering;
+
+/** What discovery tells of the engines, or is remembered of them while it tells nothing, reaches the module. */
+final class Discovery {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+    private final EngineList engines;
+    private final Steering steering;
+    private final Recall recall;
+    /** No list was told since the start. */
+    private boolean blind;
+
+    /** @param recall what is remembered across restarts; null: nothing */
+    Discovery(EngineList engines, Steering steering, Recall recall) {
+        this.engines = engines;
+        this.steering = steering;
+        this.recall = recall;
+    }
+
+    /** What was known at the start. */
+    void start(long now, List<EngineNews> known) {
+        known.forEach(news -> listed(now, news));
+        if (recall != null && known.stream().allMatch(news -> news.entries().isEmpty())) {
+            startBlind(now);
+        }
+    }
+
+    /** Whether the module was told anything. */
+    boolean listed(long now, EngineNews came) {
+        EngineNews told = engines.filled(came);
+        boolean newer = told.index() > engines.index();
+        EngineNews news = recall != null && newer ? recall.told(now, told) : told;
+        List<Listed> entries = engines.take(news);
+        if (entries != null) {
+            steering.listed(now, news.whole(), entries);
+        }
+        if (blind && newer) {
+            blind = false;
+            steering.blind(now, false);
+            LOG.info("discovery answers, list {}", news.index());
+        }
+        return entries != null;
+    }
+
+    /** Discovery told nothing: the gateway goes by what it remembers, or by nothing at all. */
+    private void startBlind(long now) {
+        Recall.Remembered remembered = recall.atStart(now);
+        blind = true;
+        if (remembered.engines() == null) {
+            steering.blind(now, true);
+            LOG.warn("discovery told nothing, and nothing that can be trusted is remembered: all is turned back");
+        } else {
+            steering.listed(now, true, engines.remember(remembered));
+            LOG.atWarn().addKeyValue("engines", remembered.engines().entries().size())
+                    .addKeyValue("trust", remembered.trust().values().stream().findFirst().orElse(0.0))
+                    .log("discovery told nothing: starting from what is remembered");
+        }
+    }
+}
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -2,18 +2,15 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tillerlink.model.Hop;
-import tillerlink.model.Listed;
 import tillerlink.model.Named;
 import tillerlink.model.Note;
 import tillerlink.model.Outcome;
 import tillerlink.model.Submission;
 import tillerlink.net.wire.Assignment;
-import tillerlink.net.wire.EngineNews;
 import tillerlink.net.wire.Rows;
 import tillerlink.plain.PlainNames;
 import tillerlink.plain.Units;
@@ -34,10 +31,10 @@
     private static final int HEAP_SHARE = 4;
 
     private final Driver driver;
-    private final Recall recall;
     private final ClientDoor clients;
     private final EngineList engines;
     private final NameService names;
+    private final Discovery discovery;
     private final Steering steering;
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
@@ -53,8 +50,6 @@
     private long countAt;
     /** The module was told something and has not settled it. */
     private boolean unsettled;
-    /** No list was told since the start. */
-    private boolean blind;
 
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now) {
         this(assignment, factory, driver, now, null, null);
@@ -78,7 +73,6 @@
     /** @param recall what is remembered across restarts; null: nothing */
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
                    Carrier.Factory carriers, Recall recall) {
-        this.recall = recall;
         this.driver = driver;
         this.now = now;
         Map<String, Object> plain = PlainNames.of(assignment.terms());
@@ -96,10 +90,8 @@
         });
         names = new NameService(driver, assignment.seed(), now, terms.number("guarantees.drain_grace", GRACE));
         steering = factory.start(now, assignment.seed(), plain, this);
-        assignment.known().forEach(this::listed);
-        if (recall != null && assignment.known().stream().allMatch(news -> news.entries().isEmpty())) {
-            startBlind();
-        }
+        discovery = new Discovery(engines, steering, recall);
+        discovery.start(now, assignment.known());
         unsettled = true;
     }
 
@@ -246,43 +238,12 @@
     /** A datagram of the name service. */
     public void told(byte[] datagram) {
         try {
-            listed(names.take(datagram));
+            unsettled |= discovery.listed(now, names.take(datagram));
         } catch (IllegalArgumentException e) {
             rarely("name service: " + e.getMessage());
         }
     }
 
-    private void listed(EngineNews came) {
-        EngineNews told = engines.filled(came);
-        boolean newer = told.index() > engines.index();
-        EngineNews news = recall != null && newer ? recall.told(now, told) : told;
-        List<Listed> entries = engines.take(news);
-        if (entries != null) {
-            steering.listed(now, news.whole(), entries);
-            unsettled = true;
-        }
-        if (blind && newer) {
-            blind = false;
-            steering.blind(now, false);
-            LOG.info("discovery answers, list {}", news.index());
-        }
-    }
-
-    /** Discovery told nothing: the gateway goes by what it remembers, or by nothing at all. */
-    private void startBlind() {
-        Recall.Remembered remembered = recall.atStart(now);
-        blind = true;
-        if (remembered.engines() == null) {
-            steering.blind(now, true);
-            LOG.warn("discovery told nothing, and nothing that can be trusted is remembered: all is turned back");
-        } else {
-            steering.listed(now, true, engines.remember(remembered));
-            LOG.atWarn().addKeyValue("engines", remembered.engines().entries().size())
-                    .addKeyValue("trust", remembered.trust().values().stream().findFirst().orElse(0.0))
-                    .log("discovery told nothing: starting from what is remembered");
-        }
-    }
-
     // ---- orders ----
 
     @Override
