Let a second part stand beside the module: its calls, its turns, guarded submissions

The guard is asked before each write and after it, also of hops that waited for their connection; where it does not hold, nothing is handed out, and the client is turned back, or told that it broke off where an earlier hop may have run and must not run twice. Without one beside, one null check a turn and a call.

--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -13,6 +13,7 @@
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
 import tillerlink.net.state.Recall;
+import tillerlink.net.state.Side;
 import tillerlink.net.wire.Assignment;
 import tillerlink.plain.Units;
 import tillerlink.port.SteeringFactory;
@@ -39,15 +40,17 @@
     /** Serves until it is told to end. */
     public void serve(Map<String, String> environment, SteeringFactory modules)
             throws IOException, InterruptedException {
-        serve(environment, modules, null, assignment -> null);
+        serve(environment, modules, null, assignment -> null, null);
     }
 
     /**
      * @param carriers how engines are reached, by their kinds; null: over engine lines
      * @param recalls  what is remembered across restarts, for what it is told to be; it may give null
+     * @param beside   makes what stands beside the module, or null
      */
     public void serve(Map<String, String> environment, SteeringFactory modules, Carrier.Factory carriers,
-                      Function<Assignment, Recall> recalls) throws IOException, InterruptedException {
+                      Function<Assignment, Recall> recalls, Side.Factory beside)
+            throws IOException, InterruptedException {
         String file = environment.get("EDGE_CONFIG");
         if (file == null) {
             throw new IOException("EDGE_CONFIG names no file");
@@ -66,6 +69,8 @@
         driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
                 (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
         gateway = new Gateway(assignment, modules, driver, clock.now(), carriers, recalls.apply(assignment));
+        Side side = beside == null ? null : beside.start(assignment, gateway.door(), turns.queue::add, clock::now);
+        gateway.beside(side);
         if (!heard) {
             LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
             new Watch(path, () -> reload(path)).start();
@@ -76,6 +81,9 @@
         try {
             turns.run(gateway, this::done);
         } finally {
+            if (side != null) {
+                side.close();
+            }
             ended.countDown();
         }
     }
--- a/gateway/src/main/java/tillerlink/net/state/Call.java
+++ b/gateway/src/main/java/tillerlink/net/state/Call.java
@@ -16,6 +16,8 @@
     /** The final answer, kept for a while for a client whose connection broke. */
     HttpAnswer answer;
     boolean handedOut;
+    /** What its hops wait on before they go out, or null. */
+    Side.Guard guard;
     boolean left;
     long forgetAt;
 
--- a/gateway/src/main/java/tillerlink/net/state/Carrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -17,6 +17,9 @@
         /** A hop is over; told once. One that was taken in this turn ends by {@link #later} at the soonest. */
         void ended(Flight flight, Outcome outcome);
 
+        /** All of a hop that is {@link Flight#guarded} has gone out; told before anything that comes of it. */
+        void written(Flight flight);
+
         /** Something of the next turn. */
         void later(Runnable what);
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -45,6 +45,8 @@
     private final long bytesMost;
     private long bytes;
     private boolean draining;
+    /** Takes some calls, or null. */
+    private Side side;
 
     ClientDoor(Gateway gateway, Named terms, int clientsMost, long bytesMost) {
         this.gateway = gateway;
@@ -118,6 +120,14 @@
             client.lastCall();
         }
         String path = http.path();
+        if (side != null && side.takes(path)) {
+            if (full() && http.body().length > 0) {
+                client.answer(noRoom());
+            } else {
+                side.called(http, client.owed());
+            }
+            return;
+        }
         switch (http.method()) {
             case GET -> {
                 if (path.equals(HEALTH)) {
@@ -126,7 +136,12 @@
                     fetch(client, known(path));
                 }
             }
-            case POST -> submit(client, http);
+            case POST -> {
+                Call call = submit(http, null, client::answer);
+                if (call != null) {
+                    client.handedIn(call);
+                }
+            }
             case DELETE -> {
                 Call call = known(path);
                 if (call != null) {
@@ -142,38 +157,46 @@
         return path.startsWith(CALLS) ? calls.get(path.substring(CALLS.length())) : null;
     }
 
-    private void submit(ClientLink client, HttpCall http) {
+    /**
+     * Takes a submission, or answers why not.
+     *
+     * @param guard what its hops wait on before they go out, or null
+     * @return null if none was taken
+     */
+    Call submit(HttpCall http, Side.Guard guard, Side.Reply reply) {
         Integer track = http.path().startsWith(SUBMIT) ? tracks.get(http.path().substring(SUBMIT.length())) : null;
         if (track == null) {
-            client.answer(HttpAnswer.unknown());
-            return;
+            reply.answer(HttpAnswer.unknown());
+            return null;
         }
         Ask ask;
         try {
             ask = Ask.of(http);
         } catch (IllegalArgumentException e) {
-            client.answer(HttpAnswer.problem(400, e.getMessage(), 0));
-            return;
+            reply.answer(HttpAnswer.problem(400, e.getMessage(), 0));
+            return null;
         }
         Call known = calls.get(ask.id());
         boolean tooLong = ask.patience() > PATIENCE_MOST * longestHardStop;
         if (tooLong || ask.key() == null && marked.contains(track)) {
-            client.answer(HttpAnswer.problem(400, tooLong ? "X-Deadline-Ms" : "X-Operation-Key", 0));
+            reply.answer(HttpAnswer.problem(400, tooLong ? "X-Deadline-Ms" : "X-Operation-Key", 0));
         } else if (known != null && !known.left && known.ask.same(ask)) {
-            client.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
+            reply.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
         } else if (known != null) {
-            client.answer(HttpAnswer.problem(409, "Known", 0));
+            reply.answer(HttpAnswer.problem(409, "Known", 0));
         } else if (calls.size() >= openMost || full()) {
             gateway.rarely("no room for a further submission: " + calls.size() + " with " + bytes + " bytes");
-            client.answer(noRoom());
+            reply.answer(noRoom());
         } else {
             Call call = new Call(ask, track, now());
+            call.guard = guard;
             calls.put(ask.id(), call);
             held(ask.statement().length);
-            client.handedIn(call);
-            client.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
+            reply.answer(HttpAnswer.goOnAt(CALLS + ask.id()));
             gateway.arrived(call);
+            return call;
         }
+        return null;
     }
 
     private void fetch(ClientLink client, Call call) {
@@ -262,6 +285,10 @@
         makeRoom();
     }
 
+    void beside(Side stands) {
+        side = stands;
+    }
+
     /** From now on the gateway is on its way out; it goes on serving what comes. */
     void drain() {
         draining = true;
@@ -274,7 +301,7 @@
     /** Whether every answer is out. */
     boolean allAnswered() {
         return calls.values().stream().allMatch(call -> call.left || call.handedOut)
-                && clients.stream().noneMatch(ClientLink::sending);
+                && clients.stream().noneMatch(ClientLink::busy);
     }
 
     /** The submissions that are owed an answer. */
--- a/gateway/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientLink.java
@@ -43,6 +43,8 @@
     private int discarded;
     /** What it waits for, or null. */
     Call waitsFor;
+    /** Another than this door answers the call in hand, in its time. */
+    private boolean owed;
     /** What it handed in by its latest call, or null. */
     private Call handedIn;
     private long quietSince;
@@ -103,7 +105,7 @@
         door.held(-unsent.poll());
         if (unsent.isEmpty()) {
             quietSince = door.now();
-            if (inHand && waitsFor == null) {
+            if (inHand && waitsFor == null && !owed) {
                 inHand = false;
                 read();
             }
@@ -188,6 +190,30 @@
         over = true;
     }
 
+    /** The call in hand is answered by another, once, now or later. */
+    Side.Reply owed() {
+        owed = true;
+        return new Owed();
+    }
+
+    private final class Owed implements Side.Reply {
+        private boolean given;
+
+        @Override
+        public void answer(HttpAnswer answer) {
+            if (!given) {
+                given = true;
+                owed = false;
+                ClientLink.this.answer(answer);
+            }
+        }
+    }
+
+    /** Whether an answer is not out yet that nothing but this connection waits for. */
+    boolean busy() {
+        return sending() || owed && !over;
+    }
+
     boolean sending() {
         return !unsent.isEmpty();
     }
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -1,5 +1,6 @@
 package tillerlink.net.state;
 
+import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -26,6 +27,8 @@
     private final EngineReader reader = new EngineReader();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
     private final Set<String> ended = new LinkedHashSet<>();
+    /** Guarded hops that are on their way out, in that order. */
+    private final ArrayDeque<Flight> guarded = new ArrayDeque<>(0);
     private Pipe pipe;
     private boolean open;
     private boolean over;
@@ -166,7 +169,7 @@
     private void start(Flight flight) {
         if (flight.pages != null) {
             turnPages(flight);
-        } else if (site.ready()) {
+        } else if (site.ready() && flight.mayGo()) {
             want(flight);
         } else {
             carrier.unsent(flight, Break.WITHDRAWN);
@@ -182,6 +185,9 @@
     private void want(Flight flight) {
         flight.place = write(EngineCommand.want(flight.id(), flight.track(), flight.millisLeft(gateway.now()),
                 flight.key(), flight.statement()));
+        if (flight.guarded()) {
+            guarded.add(flight);
+        }
     }
 
     private long write(byte[] bytes) {
@@ -225,6 +231,9 @@
     @Override
     public void written() {
         writesDone++;
+        while (!guarded.isEmpty() && guarded.peek().place <= writesDone) {
+            gateway.written(guarded.poll());
+        }
     }
 
     @Override
--- a/gateway/src/main/java/tillerlink/net/state/Flight.java
+++ b/gateway/src/main/java/tillerlink/net/state/Flight.java
@@ -19,6 +19,12 @@
     int missing;
     /** Bytes of the pages that have come. */
     int bytes;
+    /** It was not written, for its guard did not hold. */
+    boolean refused;
+    /** Its guard held after all of it was written. */
+    boolean sound;
+    /** Its guard did not: nothing that comes of it is handed out. */
+    boolean stale;
     /** How often its pages were asked for on a further connection. */
     int mended;
     private ByteArrayOutputStream answer;
@@ -45,6 +51,17 @@
         return call.ask.statement();
     }
 
+    /** Asked by whoever writes it, right before; if not, it ends as one that was never sent. */
+    public boolean mayGo() {
+        refused = call.guard != null && !call.guard.holds();
+        return !refused;
+    }
+
+    /** Whether {@link Carrier.Owner#written} is waited for. */
+    public boolean guarded() {
+        return call.guard != null;
+    }
+
     /** How long the client still waits, in milliseconds; 1 at least. */
     public long millisLeft(long now) {
         return Math.max(1, (call.submission.leavesAt - now) / Units.TENTHS_PER_MS);
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -35,6 +35,9 @@
     private final EngineList engines;
     private final NameService names;
     private final Discovery discovery;
+    private final Guarded guarded;
+    /** What stands beside the module, or null. */
+    private Side side;
     private final Steering steering;
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
@@ -84,6 +87,7 @@
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
         clients = new ClientDoor(this, terms, assignment.clientsMost(), bytesMost);
+        guarded = new Guarded(this, clients);
         engines = new EngineList(terms, this, (owner, site, kind) -> {
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
@@ -95,6 +99,17 @@
         unsettled = true;
     }
 
+    /** What stands beside the module from now on. */
+    public void beside(Side stands) {
+        side = stands;
+        clients.beside(stands);
+    }
+
+    /** What the one beside may ask for. */
+    public Side.Door door() {
+        return guarded;
+    }
+
     // ---- turns ----
 
     @Override
@@ -105,6 +120,9 @@
     /** A turn begins; nothing in it is earlier than the turn before. */
     public void begin(long clock) {
         now = Math.max(now, clock);
+        if (side != null) {
+            side.begin(now);
+        }
         for (int i = next.size(); i > 0; i--) {
             next.poll().run();
         }
@@ -116,6 +134,9 @@
             sweepAt = now + sweepEvery;
             sweep();
         }
+        if (side != null) {
+            side.settle(now);
+        }
         if (now >= wakeAt) {
             wakeAt = Long.MAX_VALUE;
             steering.woken(now);
@@ -130,7 +151,8 @@
 
     /** When the next turn is due though nothing comes. */
     public long dueAt() {
-        return next.isEmpty() ? Math.min(wakeAt, sweepAt) : now;
+        long dueAt = next.isEmpty() ? Math.min(wakeAt, sweepAt) : now;
+        return side == null ? dueAt : Math.min(dueAt, side.dueAt());
     }
 
     private void sweep() {
@@ -179,11 +201,17 @@
     }
 
     @Override
-    public void ended(Flight flight, Outcome outcome) {
+    public void written(Flight flight) {
+        guarded.written(flight);
+    }
+
+    @Override
+    public void ended(Flight flight, Outcome how) {
         if (!flight.hop.isOut()) {
             return;
         }
         carrier(flight).release(flight);
+        Outcome outcome = flight.guarded() ? guarded.ended(flight, how) : how;
         if (outcome == Outcome.FULFILLED) {
             clients.fulfil(flight.call, Rows.answer(flight.pages));
         }
@@ -256,7 +284,11 @@
         Call call = (Call) hop.submission.tag;
         Flight flight = new Flight(hop, call);
         call.flights.add(flight);
-        carrier(flight).send(flight);
+        if (flight.mayGo()) {
+            carrier(flight).send(flight);
+        } else {
+            next.add(() -> ended(flight, Outcome.NEVER_SENT));
+        }
     }
 
     @Override
@@ -303,6 +335,9 @@
     /** From now on the gateway is on its way out; it goes on serving what comes. */
     public void drain() {
         clients.drain();
+        if (side != null) {
+            side.drain();
+        }
     }
 
     /** No client waits longer than this. */
--- a/http2/src/main/java/tillerlink/net/http2/H2Link.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Link.java
@@ -1,5 +1,6 @@
 package tillerlink.net.http2;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
@@ -44,6 +45,8 @@
     private final Connection connection = new Connection();
     private final Map<Integer, Ride> rides = new LinkedHashMap<>();
     private final Map<Flight, Ride> byFlight = new IdentityHashMap<>();
+    /** Guarded hops whose last byte is on its way out, in that order. */
+    private final ArrayDeque<Ride> guarded = new ArrayDeque<>(0);
     private final long dialedAt;
     private Pipe pipe;
     private boolean open;
@@ -118,6 +121,10 @@
     // ---- hops ----
 
     void send(Flight flight) {
+        if (!flight.begun() && !flight.mayGo()) {
+            owner.later(() -> owner.ended(flight, StreamEnd.WITHDRAWN.outcome(false, false)));
+            return;
+        }
         List<Header> headers = new ArrayList<>(8);
         byte[] body;
         if (!flight.begun()) {
@@ -213,6 +220,9 @@
                 Ride ride = rides.get(stream);
                 if (ride != null) {
                     ride.place = writes;
+                    if (ride.flight.guarded()) {
+                        guarded.add(ride);
+                    }
                 }
             }
         }
@@ -233,6 +243,9 @@
     @Override
     public void written() {
         writesDone++;
+        while (!guarded.isEmpty() && guarded.peek().place <= writesDone) {
+            owner.written(guarded.poll().flight);
+        }
     }
 
     @Override
--- a/tools/src/main/java/tillerlink/cli/ServeCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ServeCommand.java
@@ -25,7 +25,8 @@
         }
         OperatorFile.Storing store = file == null ? null : file.store();
         new Node().serve(System.getenv(), Policy::new, file == null ? null : file.http2(), assignment -> store == null
-                ? null : Remembering.open(Path.of(store.folder()), assignment, store.ageMost(), store.bytesMost()));
+                ? null : Remembering.open(Path.of(store.folder()), assignment, store.ageMost(), store.bytesMost()),
+                null);
         return 0;
     }
 }
