--- /dev/null
+++ b/storm/src/main/java/tillerlink/storm/audit/Breach.java
@@ -0,0 +1,9 @@
+package tillerlink.storm.audit;
+
+/** What did not hold, in words. */
+public record Breach(Rule rule, String words) {
+    @Override
+    public String toString() {
+        return rule + ": " + words;
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/tillerlink/storm/process/Plan.java
@@ -0,0 +1,27 @@
+package tillerlink.storm.process;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What a gateway of the fleet is told at its start.
+ *
+ * @param folder  its own folder: files, log, store
+ * @param name    its name
+ * @param site    the site that it stands at
+ * @param http    the port at which it listens for clients
+ * @param members the port at which it listens for other gateways
+ * @param reach   at which port of loopback it reaches each other gateway
+ * @param sites   all sites that the operator counts in
+ * @param voters  the gateways whose majority grants leases
+ * @param names   the port of the name service
+ * @param engines the ports at which it reaches engines e1, e2, ...
+ */
+public record Plan(Path folder, String name, String site, int http, int members, Map<String, Integer> reach,
+                   List<String> sites, List<String> voters, int names, List<Integer> engines) {
+    public Plan {
+        reach = new TreeMap<>(reach);
+    }
+}
--- /dev/null
+++ b/storm/src/test/java/tillerlink/storm/story/SubmissionStoryTest.java
@@ -0,0 +1,35 @@
+package tillerlink.storm.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tillerlink.storm.audit.Audit;
+import tillerlink.storm.rig.Rig;
+
+/** Guards the rig itself: a gateway alone carries submissions to engines and ends in peace. */
+class SubmissionStoryTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void one() throws Exception {
+        Audit audit = new Audit();
+        try (Rig rig = new Rig(folder, 1, new Rig.Shape(1, 1, 2, 1), System.getProperty("java.class.path"),
+                (engine, command) -> audit.ran(engine, new String(command.statement())))) {
+            rig.start();
+            for (int i = 0; i < 20; i++) {
+                String id = String.format("%016x", i);
+                String statement = "UPDATE t SET x = " + i;
+                audit.handedIn(id, statement, true);
+                audit.answered(id, rig.client("n0").submit("book", id, statement, 3000).status());
+            }
+            rig.gateway("n0").leave();
+            assertEquals(List.of(), rig.violations());
+        }
+        assertEquals(List.of(), audit.end());
+        assertEquals(20, audit.submissions());
+    }
+}
