--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -2,25 +2,17 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
-import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramConnector;
-import org.apache.mina.transport.socket.nio.NioProcessor;
-import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import tillerlink.net.state.Break;
@@ -262,69 +254,6 @@
         }
     }
 
-    /** MINA's thread for reading and writing; what changes whether a connection is read must run on it. */
-    private static final class Reading extends NioProcessor {
-        private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-        private volatile Thread thread;
-
-        Reading() {
-            super(Executors.newCachedThreadPool(work -> {
-                Thread thread = new Thread(work, "reading");
-                thread.setDaemon(true);
-                return thread;
-            }));
-        }
-
-        void run(Runnable task) {
-            if (Thread.currentThread() == thread) {
-                task.run();
-            } else {
-                tasks.add(task);
-                wakeup();
-            }
-        }
-
-        @Override
-        protected int select(long timeout) throws Exception {
-            thread = Thread.currentThread();
-            for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
-                task.run();
-            }
-            return super.select(timeout);
-        }
-    }
-
-    /** Guards the descriptors: beyond the bound newcomers wait in the backlog until others have been closed. */
-    private static final class Bounded extends NioSocketAcceptor {
-        private static final long WAIT_MS = 20;
-        private final Semaphore room;
-
-        Bounded(IoProcessor<NioSession> processor, int most) {
-            super(processor);
-            room = new Semaphore(most);
-        }
-
-        @Override
-        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listening)
-                throws Exception {
-            if (!room.tryAcquire(WAIT_MS, TimeUnit.MILLISECONDS)) {
-                return null;
-            }
-            NioSession session = null;
-            try {
-                session = super.accept(processor, listening);
-            } finally {
-                if (session == null) {
-                    room.release();
-                }
-            }
-            if (session != null) {
-                session.getCloseFuture().addListener(closed -> room.release());
-            }
-            return session;
-        }
-    }
-
     private final class Accepting extends Posting {
         private final Function<Pipe, Pipe.Owner> accepted;
 
