Read members, channels and statements from the operator's file, each checked in place

Addresses are host:port with the host written out, so that nothing is looked up; the address that a gateway listens at is told to others and so can't be 0.0.0.0. Channels and statements want members and store; an even number of voters, names that repeat and a site of one's own that is not counted in are faults. The secret's file is read when serving. check tells of the new parts. An empty list where one is wanted is called empty now.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -23,6 +23,38 @@
   memory_mb = 16             # of what is kept; on disk some three times as much
 }
 
+# The fleet that this gateway belongs to. Without this part it knows of no other gateway, and nothing is sent to any.
+# Addresses are host:port with the host written out; they are not looked up.
+members {
+  fleet       = "newsroom"   # what comes from a fleet of another name is not taken
+  site        = "north"      # where this gateway stands
+  listen      = "10.1.0.7:7400" # UDP; the others are told this address
+  seeds       = ["10.1.0.7:7400", "10.2.0.7:7400"] # where others may be met first; its own may stand among them
+  secret_file = "/etc/tillerlink/fleet.secret" # 16 bytes at the least, the same for all; left out: peers are not authenticated
+  probe_ms    = 500          # between two probes
+  reach "south-1" {          # where a translator stands between: how this gateway reaches that one
+    at = "10.9.0.2:7400"
+  }
+}
+
+# Logs of channels that all gateways hold alike. Needs members and store. Without this part there are none.
+channels {
+  sites          = ["north", "south", "studio"] # all that are counted in; an entry is stable once each was heard beyond it
+  absent_after_s = 300       # a site not heard of for so long is gone on without
+  ahead_ms       = 60000     # how far a stamp may run ahead of this gateway's clock
+  memory_mb      = 64        # of all channels together
+  disk_mb        = 1024      # the same on disk
+  channels_most  = 64
+}
+
+# Prepared statements that are kept right while schemas change. Needs members and store. Without this part none are taken.
+statements {
+  voters   = ["north-1", "north-2", "south-1"] # a majority of these gateways grants leases; an odd number of them
+  lease_ms = 3000
+  drift    = 0.01            # by which share two clocks may run apart at the most
+  fence    = false           # whether engines check the versions of schemas themselves
+}
+
 # A layout of traces beside those that are built in. Columns are named in the file's order, or by its header;
 # where a column is wanted, its name or its place from 1 on will do.
 layout "batch-log" {
--- a/operator/src/main/java/tillerlink/operator/NamesCheck.java
+++ b/operator/src/main/java/tillerlink/operator/NamesCheck.java
@@ -1,5 +1,6 @@
 package tillerlink.operator;
 
+import java.util.List;
 import tillerlink.fleet.Fleet;
 
 /** Names that lead from one part to another. */
@@ -7,11 +8,30 @@
     private NamesCheck() {
     }
 
-    /** What a name names must be there. */
-    static void check(Section all, Fleet fleet) {
-        if (fleet == null) {
-            return;
+    static void check(Section all, OperatorFile file) {
+        shared(all, file);
+        if (file.fleet() != null) {
+            replayed(all, file.fleet());
         }
+    }
+
+    /** What gateways share stands on knowing each other and on a disk. */
+    private static void shared(Section all, OperatorFile file) {
+        for (String part : List.of("channels", "statements")) {
+            Section section = all.one(part);
+            if (section != null && (file.members() == null || file.store() == null)) {
+                section.fault(part + " wants the parts members and store too");
+            }
+        }
+        if (file.channels() != null && file.members() != null && !file.members().site().isEmpty()
+                && !file.channels().sites().contains(file.members().site())) {
+            all.one("channels").faultAt("sites", "the site '" + file.members().site()
+                    + "' of this gateway is not among 'sites'");
+        }
+    }
+
+    /** What a replay names must be there. */
+    private static void replayed(Section all, Fleet fleet) {
         for (Section track : all.all("track")) {
             for (String kind : track.texts("kinds", false)) {
                 if (fleet.kindNamed(kind) < 0) {
--- a/operator/src/main/java/tillerlink/operator/OperatorFile.java
+++ b/operator/src/main/java/tillerlink/operator/OperatorFile.java
@@ -16,8 +16,9 @@
  *
  * @param tracks in the order of the file: the first whose tests a row passes takes it
  */
-public record OperatorFile(Log log, H2Carriers http2, Storing store, List<Layout> layouts, Fleet fleet,
-                           List<Track> tracks, List<Trouble> troubles, Replaying replay) {
+public record OperatorFile(Log log, H2Carriers http2, Storing store, Members members, Channels channels,
+                           Statements statements, List<Layout> layouts, Fleet fleet, List<Track> tracks,
+                           List<Trouble> troubles, Replaying replay) {
     /** How log lines look. */
     public record Log(Form form, Level level) {
     }
@@ -57,10 +58,12 @@
         List<Fault> faults = new ArrayList<>();
         Section all = HclReader.read(path, faults);
         OperatorFile file = new OperatorFile(LogPart.read(all.one("log")), Http2Part.read(all.one("http2")),
-                StorePart.read(all.one("store")), LayoutPart.read(all), FleetPart.read(all.one("fleet")),
-                TrackPart.read(all), TroublePart.read(all), ReplayPart.read(all.one("replay")));
+                StorePart.read(all.one("store")), Members.read(all.one("members")),
+                Channels.read(all.one("channels")), Statements.read(all.one("statements")),
+                LayoutPart.read(all), FleetPart.read(all.one("fleet")), TrackPart.read(all), TroublePart.read(all),
+                ReplayPart.read(all.one("replay")));
         all.close();
-        NamesCheck.check(all, file.fleet);
+        NamesCheck.check(all, file);
         if (!faults.isEmpty()) {
             throw new FaultyException(path, faults.stream().sorted().distinct().toList());
         }
--- a/operator/src/main/java/tillerlink/operator/Section.java
+++ b/operator/src/main/java/tillerlink/operator/Section.java
@@ -180,7 +180,9 @@
         if (value.value instanceof List<?> list) {
             list.forEach(one -> texts.add(one instanceof String text ? text : null));
         }
-        if (!(value.value instanceof List) || texts.contains(null) || wanted && texts.isEmpty()) {
+        if (wanted && value.value instanceof List && texts.isEmpty()) {
+            fault(value, "'" + name + "' is empty");
+        } else if (!(value.value instanceof List) || texts.contains(null)) {
             faultUnlessTold(value, "'" + name + "' is not a list of texts in quotes");
             return List.of();
         }
--- a/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
+++ b/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
@@ -4,8 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tillerlink.trace.Layout;
@@ -121,6 +124,99 @@
                 """));
     }
 
+    @Test
+    void whatGatewaysShareIsChecked() {
+        assertEquals("""
+                1:8: 'site' is missing in members
+                2:3: 'a b' is not a name of letters, digits, '.', '-' and '_', 64 at most
+                3:3: '0.0.0.0:7400' is not the address and port of one gateway, as in 10.0.0.7:7400
+                4:3: '10.0.0.300:1' is not the address and port of one gateway, as in 10.0.0.7:7400
+                4:3: '127.0.0.1:7401' stands twice in 'seeds'
+                4:3: '[::1]:70000' is not the address and port of one gateway, as in 10.0.0.7:7400
+                4:3: 'gw1:7400' is not the address and port of one gateway, as in 10.0.0.7:7400
+                5:3: 'probe_ms' is 5, not within 50 and 60000
+                6:13: 'at' is missing in reach "n1"
+                9:13: a second reach 'n1'
+                12:3: 'port' is not known in members
+                14:9: channels wants the parts members and store too
+                15:3: 'north' stands twice in 'sites'
+                16:3: 'absent_after_s' is not a number
+                18:11: statements wants the parts members and store too
+                19:3: an even number of voters bears no more failures than one voter fewer
+                20:3: 'fence' is neither true nor false
+                """, faults("""
+                members {
+                  fleet = "a b"
+                  listen = "0.0.0.0:7400"
+                  seeds = ["gw1:7400", "127.0.0.1:7401", "10.0.0.300:1", "[::1]:70000", "127.0.0.1:7401"]
+                  probe_ms = 5
+                  reach "n1" {
+                    # at = "127.0.0.1:9"
+                  }
+                  reach "n1" {
+                    at = "[fd00::7]:7400"
+                  }
+                  port = 7
+                }
+                channels {
+                  sites = ["north", "south", "north"]
+                  absent_after_s = "long"
+                }
+                statements {
+                  voters = ["n1", "n2"]
+                  fence = "no"
+                }
+                """));
+    }
+
+    @Test
+    void sharingWantsVotersAndTheOwnSite() {
+        assertEquals("""
+                10:3: the site 'west' of this gateway is not among 'sites'
+                13:3: 'voters' is empty
+                """, faults("""
+                store {
+                  folder = "s"
+                }
+                members {
+                  fleet = "f"
+                  site = "west"
+                  listen = "127.0.0.1:7400"
+                }
+                channels {
+                  sites = ["east"]
+                }
+                statements {
+                  voters = []
+                }
+                """));
+        assertEquals("1:11: 'voters' is missing in statements\n1:11: statements wants the parts members and store too\n",
+                faults("statements {\n}\n"));
+    }
+
+    @Test
+    void theExampleHasEveryPart() throws IOException {
+        OperatorFile file = OperatorFile.read(Path.of("../deploy/operator.hcl"));
+        assertEquals(new Members("newsroom", "north", "10.1.0.7:7400", List.of("10.1.0.7:7400", "10.2.0.7:7400"),
+                "/etc/tillerlink/fleet.secret", Map.of("south-1", "10.9.0.2:7400"), 5000), file.members());
+        assertEquals(new Channels(List.of("north", "south", "studio"), 3_000_000, 600_000, 64L << 20, 1L << 30, 64),
+                file.channels());
+        assertEquals(new Statements(List.of("north-1", "north-2", "south-1"), 30_000, 0.01, false), file.statements());
+    }
+
+    @Test
+    void aSecretIsReadWhenServing() throws IOException {
+        String file = folder.resolve("secret").toString();
+        Members members = new Members("f", "s", "127.0.0.1:1", List.of(), file, Map.of(), 5000);
+        assertEquals(file + ": there is no secret to be read there",
+                assertThrows(IOException.class, members::secret).getMessage());
+        Files.writeString(Path.of(file), "too short\n");
+        assertEquals(file + ": a secret of 9 bytes; it wants 16 at the least",
+                assertThrows(IOException.class, members::secret).getMessage());
+        Files.writeString(Path.of(file), "0123456789abcdef\r\n");
+        assertEquals("0123456789abcdef", new String(members.secret(), StandardCharsets.US_ASCII));
+    }
+
     @Test
     void whatIsNotHclIsToldWhereItGoesWrong() {
         assertEquals("2:10: a quote that does not end on its line\n", faults("log {\n  form = \"te\n}\n"));
--- a/tools/src/main/java/tillerlink/cli/CheckCommand.java
+++ b/tools/src/main/java/tillerlink/cli/CheckCommand.java
@@ -24,9 +24,11 @@
     public Integer call() throws IOException {
         try {
             OperatorFile read = OperatorFile.read(file);
-            spec.commandLine().getOut().printf(Locale.ROOT, "%s is fine: %d layouts, %d tracks, %d troubles%s%n", file,
+            spec.commandLine().getOut().printf(Locale.ROOT,
+                    "%s is fine: %d layouts, %d tracks, %d troubles%s%s%n", file,
                     read.layouts().size(), read.tracks().size(), read.troubles().size(),
-                    read.fleet() == null ? "" : ", a fleet of " + read.fleet().engines().size() + " engines");
+                    read.fleet() == null ? "" : ", a fleet of " + read.fleet().engines().size() + " engines",
+                    shared(read));
             spec.commandLine().getOut().flush();
             return 0;
         } catch (OperatorFile.FaultyException e) {
@@ -36,4 +38,20 @@
             return 1;
         }
     }
+
+    /** What it has of what gateways share. */
+    private static String shared(OperatorFile read) {
+        StringBuilder all = new StringBuilder();
+        if (read.members() != null) {
+            all.append("; a member of '").append(read.members().fleet()).append("' at site ")
+                    .append(read.members().site()).append(" on ").append(read.members().listen());
+        }
+        if (read.channels() != null) {
+            all.append(", channels among ").append(read.channels().sites().size()).append(" sites");
+        }
+        if (read.statements() != null) {
+            all.append(", statements by ").append(read.statements().voters().size()).append(" voters");
+        }
+        return all.toString();
+    }
 }
