Say at the end of a replay why it ends as it does; a busy machine alone does not fail the demo

With all cores busy make demo ended with exit code 1, since its load was sent late by 68 ms; the reason stood in its second line only, and no rule broke. The last line of every replay now says whether a rule broke, rows or submissions are missing, and whether the figure counts.

--- a/tools/src/main/java/tillerlink/cli/DemoCommand.java
+++ b/tools/src/main/java/tillerlink/cli/DemoCommand.java
@@ -53,10 +53,15 @@
                 Played played = Rig.play(job, arrivals, arrived -> spec.commandLine().getErr()
                         .printf(Locale.ROOT, "%d submissions%n", arrived));
                 Summary.print(played, spec.commandLine().getOut());
-                return played.sound() ? 0 : 1;
+                return exitCode(played);
             }
         } finally {
             Files.deleteIfExists(trace);
         }
     }
+
+    /** It shows that nothing breaks, and that it shows on a busy machine too; only the figure wants a quiet one. */
+    static int exitCode(Played played) {
+        return played.faults().isEmpty() ? 0 : 1;
+    }
 }
--- a/tools/src/main/java/tillerlink/cli/Summary.java
+++ b/tools/src/main/java/tillerlink/cli/Summary.java
@@ -2,9 +2,7 @@
 
 import java.io.PrintWriter;
 import java.util.Locale;
-import java.util.Map;
 import tillerlink.audit.Breach;
-import tillerlink.audit.Rule;
 import tillerlink.replay.End;
 import tillerlink.replay.Figures;
 import tillerlink.replay.Played;
@@ -35,13 +33,10 @@
                 run.arrivals().tally().rowsRead(), run.arrivals().tally().rowsUsed(), run.arrivals().tally().bad(),
                 run.auditor().hops(), run.auditor().furtherHops());
         run.world().happened().forEach(out::println);
-        for (Map.Entry<Rule, Long> broken : run.auditor().counts().entrySet()) {
-            out.printf("rule broken: %s, %d times%n", broken.getKey().name().toLowerCase(Locale.ROOT),
-                    broken.getValue());
-        }
         for (Breach breach : run.auditor().breaches().subList(0, Math.min(5, run.auditor().breaches().size()))) {
             out.println("  " + breach.what());
         }
+        out.println(run.verdict());
         out.flush();
     }
 }
