Know who is there: probes, indirect probes, suspicion, gossip and digests of members

Gateways of a fleet have to know which of them live before anything can be shared. The first slice of module members: SWIM's probes (repeated bare, then through others, all of it twice before anybody is accused), suspicion whose time falls with confirmations, local health, incarnations, two processes with one name, digests, away and leave.

--- /dev/null
+++ b/members/src/main/java/tillerlink/members/Hearing.java
@@ -0,0 +1,246 @@
+package tillerlink.members;
+
+import java.util.List;
+import tillerlink.members.digest.Digests;
+import tillerlink.members.own.Own;
+import tillerlink.members.probe.Relays;
+import tillerlink.members.probe.Try;
+import tillerlink.members.state.Entry;
+import tillerlink.members.state.Table;
+import tillerlink.members.terms.Lines;
+import tillerlink.messages.members.Card;
+import tillerlink.messages.members.Doubt;
+import tillerlink.messages.members.MemberMessage;
+import tillerlink.messages.members.Rumour;
+import tillerlink.messages.members.Standing;
+import tillerlink.peers.Reach;
+
+/** What this process makes of the messages of others. */
+final class Hearing {
+    /** Nobody is told of what it has to refute more often than that, but in an answer. */
+    private static final long DOUBTS_APART = 500;
+
+    private final Core core;
+    private final Asking asking;
+    private final Digests digests;
+    private long doubtToldAt = Long.MIN_VALUE / 2;
+    private long doubtfulUntil = Long.MIN_VALUE;
+    private long lasted;
+    long refused;
+
+    Hearing(Core core, Asking asking, Digests digests) {
+        this.core = core;
+        this.asking = asking;
+        this.digests = digests;
+    }
+
+    /** What comes until then waited while this process was away. */
+    void doubtful(long until, long away) {
+        doubtfulUntil = until;
+        lasted = away;
+    }
+
+    void told(String from, MemberMessage message) {
+        if (from.equals(core.self)) {
+            self(message);
+            return;
+        }
+        met(from, message.card());
+        if (message instanceof MemberMessage.Listing listing) {
+            digests.told(listing, listing.card().address());
+        }
+        message.rumours().forEach(this::rumour);
+        act(from, message);
+    }
+
+    private void act(String from, MemberMessage message) {
+        if (message instanceof MemberMessage.Probe probe) {
+            probe(from, probe);
+        } else if (message instanceof MemberMessage.Ack ack) {
+            own(ack.doubt(), "");
+            ack(from, ack);
+        } else if (message instanceof MemberMessage.Ask ask) {
+            relay(from, ask);
+        } else if (message instanceof MemberMessage.Vouch vouch) {
+            asking.probes.vouched(vouch.number(), vouch.reached());
+        } else if (message instanceof MemberMessage.Gossip gossip) {
+            own(gossip.doubt(), "");
+        } else if (message instanceof MemberMessage.Digest digest) {
+            digests.told(digest, digest.card().address());
+        }
+        if (!(message instanceof MemberMessage.Probe)) {
+            tellDoubt(from, message.card());
+        }
+    }
+
+    // ---- the sender ----
+
+    /** A message shows that its sender lived once, not that it does now: it may have been recorded. */
+    private void met(String from, Card card) {
+        Entry entry = core.table.get(from);
+        if (entry == null) {
+            asking.verify(new Rumour(from, Standing.ALIVE, card, "", 0));
+        } else if (card.compare(entry.card()) > 0) {
+            rumour(new Rumour(from, Standing.ALIVE, card, "", 0));
+        }
+    }
+
+    private void tellDoubt(String from, Card card) {
+        Doubt doubt = core.doubt(from, card);
+        if (doubt.is() && core.now - doubtToldAt >= DOUBTS_APART) {
+            doubtToldAt = core.now;
+            core.gossip(card.address(), doubt, 0);
+        }
+    }
+
+    // ---- questions and answers ----
+
+    private void probe(String from, MemberMessage.Probe probe) {
+        if (!probe.target().isEmpty() && !probe.target().equals(core.self)) {
+            // Another process stands at that address now: nobody answers for it.
+            core.gossip(probe.card().address(), Doubt.NONE, 0);
+            return;
+        }
+        own(probe.doubt(), "");
+        core.send(probe.card().address(), new MemberMessage.Ack(core.own.card(), probe.number(),
+                core.doubt(from, probe.card()), answerNews(probe)));
+    }
+
+    /** A question without news may have come over a link that carries small messages only: so is the answer. */
+    private List<Rumour> answerNews(MemberMessage.Probe probe) {
+        return probe.rumours().isEmpty() ? core.news(Core.room(Core.BYTES_SMALL))
+                : core.news(Core.room(Core.BYTES_MOST));
+    }
+
+    private void ack(String from, MemberMessage.Ack ack) {
+        Relays.For asker = asking.relays.answered(ack.number(), from);
+        if (asker != null) {
+            core.send(asker.address(), new MemberMessage.Vouch(core.own.card(), asker.number(), true,
+                    core.news(Core.room(Core.BYTES_SMALL))));
+            return;
+        }
+        Try about = asking.probes.answered(ack.number(), from, core.now);
+        if (about == null) {
+            return;
+        }
+        if (about.kind() == Try.Kind.MEMBER) {
+            straight(from, about);
+            return;
+        }
+        boolean known = core.table.get(from) != null && core.table.get(from).standing().takesPart();
+        rumour(new Rumour(from, Standing.ALIVE, ack.card(), "", 0));
+        if (!known && core.table.get(from) != null && core.table.get(from).standing().takesPart()) {
+            straight(from, about);
+            compare(ack.card().address());
+        }
+    }
+
+    private void straight(String from, Try about) {
+        Entry entry = core.table.get(from);
+        if (entry != null && entry.standing().takesPart()) {
+            core.table.lived(entry, about.startedAt());
+            core.table.straight(entry, core.now - about.startedAt());
+        }
+    }
+
+    private void relay(String from, MemberMessage.Ask ask) {
+        Entry entry = core.table.get(ask.target());
+        String address = entry == null ? ask.address() : entry.card().address();
+        long number = asking.relays.add(new Relays.For(from, ask.card().address(), ask.number(), ask.target(),
+                core.now + core.periods.answerWithin()));
+        if (number != 0) {
+            Doubt doubt = ask.doubt().is() || entry == null ? ask.doubt() : entry.doubt();
+            core.send(address, new MemberMessage.Probe(core.own.card(), number, ask.target(), doubt,
+                    List.of()));
+        }
+    }
+
+    /** All that both know is compared. */
+    void compare(String address) {
+        long salt = core.random.nextLong();
+        core.send(address, new MemberMessage.Digest(core.own.card(), salt, digests.sums(salt)));
+    }
+
+    // ---- what is told ----
+
+    private void rumour(Rumour told) {
+        if (told.name().equals(core.self)) {
+            own(new Doubt(told.standing(), told.card().incarnation(), told.card().birth()), told.card().address());
+            return;
+        }
+        boolean doubtful = core.now <= doubtfulUntil;
+        Rumour rumour = doubtful ? new Rumour(told.name(), told.standing(), told.card(), told.by(),
+                told.age() + lasted) : told;
+        Table.Outcome outcome = core.table.tell(rumour, core.now, doubtful);
+        switch (outcome) {
+            case NEWS -> core.rumours.put(rumour.name(), rumour.by());
+            case VERIFY -> asking.verify(rumour);
+            case REFUSED -> {
+                refused++;
+                core.lines.line(Lines.Kind.FULL, core.now, "members: no room for " + rumour.name() + ", "
+                        + core.periods.mostMembers() + " others take part already");
+            }
+            default -> {
+                // nothing new
+            }
+        }
+        if (outcome == Table.Outcome.NEWS && rumour.standing() == Standing.GONE
+                && core.table.get(rumour.name()).reach() == Reach.SUSPECTED) {
+            asking.verify(rumour);
+        }
+    }
+
+    // ---- the own name ----
+
+    private void own(Doubt doubt, String address) {
+        if (!doubt.is() || core.left || core.own.yielded()) {
+            return;
+        }
+        Own.Answer answer = core.own.told(doubt.standing(), doubt.incarnation(), doubt.birth(), address);
+        settle(answer, address);
+        if (answer == Own.Answer.RAISED && doubt.birth() == core.own.card().birth()) {
+            asking.health.worse(1);
+        }
+    }
+
+    private void settle(Own.Answer answer, String address) {
+        switch (answer) {
+            case NOTHING -> {
+                // it says what is so
+            }
+            case RAISED -> core.raised();
+            case RAISED_OVER_RIVAL -> {
+                core.raised();
+                core.lines.line(Lines.Kind.RIVAL, core.now, "members: another process is told of under the own name "
+                        + core.self + ", at " + address);
+                asking.rival(address);
+            }
+            case YIELD -> {
+                core.lines.line(Lines.Kind.OWN, core.now, "members: another process keeps the name " + core.self
+                        + "; this one takes part no more until it is started under another name");
+                core.watcher.yielded();
+            }
+        }
+    }
+
+    /** A message from the own name: an echo, or another process that has it. */
+    private void self(MemberMessage message) {
+        Card card = message.card();
+        if (card.birth() == core.own.card().birth() || core.left) {
+            return;
+        }
+        if (message instanceof MemberMessage.Ack ack
+                && asking.probes.answered(ack.number(), core.self, core.now) != null) {
+            settle(core.own.lives(card.birth()), card.address());
+            return;
+        }
+        own(new Doubt(Standing.ALIVE, card.incarnation(), card.birth()), card.address());
+        if (message instanceof MemberMessage.Probe probe) {
+            core.send(card.address(), new MemberMessage.Ack(core.own.card(), probe.number(), Doubt.NONE,
+                    List.of()));
+            if (!core.own.yielded() && !asking.probes.underWay(core.self)) {
+                asking.rival(card.address());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/members/src/main/java/tillerlink/members/probe/Probes.java
@@ -0,0 +1,222 @@
+package tillerlink.members.probe;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import tillerlink.members.terms.Periods;
+import tillerlink.messages.members.Doubt;
+import tillerlink.peers.Invariant;
+
+/**
+ * Questions under way. A member is asked with news, then bare (a link may carry small messages only), then through
+ * others; if nobody gets an answer all of it is done once more before it is accused.
+ */
+public final class Probes {
+    /** That many at once, answered ones counted that may still be answered again. */
+    public static final int MOST = 128;
+
+    /** What is to be done. */
+    public interface Steps {
+        void ask(Try about, boolean bare);
+
+        /** @return how many were asked */
+        int askOthers(Try about);
+
+        /** Whether all is to be done once more before somebody is accused. */
+        boolean again(Try about);
+
+        /** Only others got an answer. */
+        void onlyOthers(Try about);
+
+        void missed(Try about);
+    }
+
+    private static final int STEPS_EACH_ROUND = 3;
+
+    private final Periods periods;
+    private final Health health;
+    private final RandomGenerator random;
+    private final Steps steps;
+    private final Map<Long, Try> tries = new LinkedHashMap<>();
+    private long usualTrip;
+
+    public Probes(Periods periods, Health health, RandomGenerator random, Steps steps) {
+        this.periods = periods;
+        this.health = health;
+        this.random = random;
+        this.steps = steps;
+    }
+
+    public int size() {
+        return tries.size();
+    }
+
+    /** Whether one is under way to that name. */
+    public boolean underWay(String name) {
+        for (Try any : tries.values()) {
+            if (!any.done && any.name.equals(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Starts to ask somebody.
+     *
+     * @param trip how long its answers took of late; 0 if that is not known
+     */
+    public void start(Try.Kind kind, String name, String address, Doubt doubt, long trip, long now) {
+        if (tries.size() >= MOST && !dropDone()) {
+            return;
+        }
+        long patient = Math.max(periods.answerWithin(), 2 * Math.max(trip, usualTrip));
+        long wait = Math.min(periods.waitMost(), health.stretched(patient));
+        Try about = new Try(kind, number(), name, address, doubt, now, wait);
+        tries.put(about.number, about);
+        Invariant.holds(tries.size() <= MOST, () -> "questions under way: " + tries.size());
+        step(about, now);
+    }
+
+    private long number() {
+        long number = random.nextLong();
+        return number == 0 || tries.containsKey(number) ? number() : number;
+    }
+
+    private boolean dropDone() {
+        Iterator<Try> all = tries.values().iterator();
+        while (all.hasNext()) {
+            if (all.next().done) {
+                all.remove();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** An answer came: what it answers, also if it is late; null if nothing, or if another was asked. */
+    public Try answered(long number, String from, long now) {
+        Try about = tries.get(number);
+        if (about == null || !about.name.isEmpty() && !about.name.equals(from)) {
+            return null;
+        }
+        if (!about.done && about.kind == Try.Kind.MEMBER) {
+            health.better();
+        }
+        about.done = true;
+        about.nextAt = about.startedAt + keepFor(about);
+        long took = Math.min(now - about.startedAt, periods.waitMost());
+        usualTrip = (7 * usualTrip + took) / 8;
+        return about;
+    }
+
+    /** Another says whether it got an answer; null if nobody asked. */
+    public Try vouched(long number, boolean reached) {
+        Try about = tries.get(number);
+        if (about == null || about.relays == 0) {
+            return null;
+        }
+        if (reached) {
+            about.vouched = true;
+        } else {
+            about.refusals++;
+        }
+        return about;
+    }
+
+    private long keepFor(Try about) {
+        return Math.max(2 * periods.waitMost(), 8 * about.wait);
+    }
+
+    public void turn(long now) {
+        List<Try> due = new ArrayList<>();
+        for (Try about : tries.values()) {
+            if (about.nextAt <= now) {
+                due.add(about);
+            }
+        }
+        due.forEach(about -> step(about, now));
+    }
+
+    public long dueAt() {
+        long due = Long.MAX_VALUE;
+        for (Try about : tries.values()) {
+            due = Math.min(due, about.nextAt);
+        }
+        return due;
+    }
+
+    /** What was under way is not counted for anything: the answers may have waited where this process did not read. */
+    public void away() {
+        tries.clear();
+    }
+
+    private void step(Try about, long now) {
+        if (about.done) {
+            tries.remove(about.number);
+            return;
+        }
+        if (about.kind != Try.Kind.MEMBER) {
+            stepOfOthers(about, now);
+            return;
+        }
+        switch (about.step % STEPS_EACH_ROUND) {
+            case 0 -> ask(about, now, 1);
+            case 1 -> {
+                steps.ask(about, true);
+                next(about, now, 1);
+            }
+            default -> {
+                about.relays += steps.askOthers(about);
+                steps.ask(about, true);
+                next(about, now, 2);
+            }
+        }
+    }
+
+    /** The first of a round, or the end of the one before. */
+    private void ask(Try about, long now, int waits) {
+        boolean first = about.step == 0;
+        if (!first && (about.vouched || about.step >= 2 * STEPS_EACH_ROUND || !steps.again(about))) {
+            end(about, now);
+            return;
+        }
+        steps.ask(about, !first);
+        next(about, now, waits);
+    }
+
+    private void stepOfOthers(Try about, long now) {
+        if (about.step > 1) {
+            finish(about);
+            return;
+        }
+        steps.ask(about, about.step == 1);
+        next(about, now, 1 + about.step);
+    }
+
+    private static void next(Try about, long now, int waits) {
+        about.step++;
+        about.nextAt = now + waits * about.wait;
+    }
+
+    private void end(Try about, long now) {
+        finish(about);
+        if (about.vouched) {
+            steps.onlyOthers(about);
+            return;
+        }
+        // Others who say that they got no answer either are heard: then it is not this process that hears nothing.
+        int silent = about.relays - about.refusals;
+        health.worse(about.relays == 0 ? 1 : Math.max(0, Math.min(2, silent)));
+        steps.missed(about);
+    }
+
+    /** Kept a little, as an answer may still come. */
+    private void finish(Try about) {
+        about.done = true;
+        about.nextAt = about.startedAt + keepFor(about);
+    }
+}
--- /dev/null
+++ b/members/src/test/java/tillerlink/members/MembersTest.java
@@ -0,0 +1,54 @@
+package tillerlink.members;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import tillerlink.members.terms.Periods;
+import tillerlink.peers.Reach;
+import tillerlink.virtual.Fault;
+
+/** Members in virtual time. */
+class MembersTest {
+    private static String[] names(int size) {
+        return IntStream.range(0, size).mapToObj(i -> String.format("g%03d", i)).toArray(String[]::new);
+    }
+
+    @Test
+    void knowEachOtherAndFindOneDead() {
+        for (int size : new int[] {2, 3, 12, 30}) {
+            Play play = new Play(size, Periods.usual());
+            play.startAll(names(size));
+            long joined = play.untilAgreed(20 * Play.SECOND);
+            assertTrue(joined >= 0, "joined");
+            System.out.println(size + " joined in " + joined / 10 + " ms");
+            play.fleet.playFor(20 * Play.SECOND);
+            assertTrue(play.agreed());
+            assertTrue(play.changes.stream().noneMatch(change -> change.is() != Reach.REACHABLE), play.changes::toString);
+            play.kill("g001");
+            long found = play.untilAgreed(30 * Play.SECOND);
+            System.out.println(size + " found in " + found / 10 + " ms");
+            assertTrue(found >= 0, play.changes::toString);
+            play.start("g001", Play.at("g000"));
+            long back = play.untilAgreed(30 * Play.SECOND);
+            System.out.println(size + " back in " + back / 10 + " ms");
+            assertTrue(back >= 0, play.changes::toString);
+        }
+    }
+
+    @Test
+    void cutBetweenTwoThatOthersReachIsThroughOthers() {
+        Play play = new Play(5, Periods.usual());
+        play.startAll("a", "b", "c");
+        assertTrue(play.untilAgreed(20 * Play.SECOND) >= 0);
+        play.fleet.between(Play.at("a"), Play.at("b"), Fault.CUT);
+        play.changes.clear();
+        play.fleet.playFor(120 * Play.SECOND);
+        assertEquals(Reach.THROUGH_OTHERS, play.reach("a", "b"));
+        assertEquals(Reach.THROUGH_OTHERS, play.reach("b", "a"));
+        assertEquals(2, play.changes.size(), play.changes::toString);
+        play.fleet.heal();
+        assertTrue(play.untilAgreed(20 * Play.SECOND) >= 0);
+    }
+}
