--- a/storm/src/main/java/tillerlink/storm/audit/Audit.java
+++ b/storm/src/main/java/tillerlink/storm/audit/Audit.java
@@ -45,6 +45,11 @@
         logs.taken(channel, gateway, life, key, id);
     }
 
+    /** A gateway starts with less on its disk than it had: what no other was seen to have may be gone. */
+    public synchronized void diskLost(String gateway) {
+        logs.diskLost(gateway);
+    }
+
     /** A piece of a gateway's log. */
     public synchronized void read(String channel, String gateway, List<LogLine> lines) {
         logs.read(channel, gateway, lines);
--- /dev/null
+++ b/storm/src/main/java/tillerlink/storm/play/Cutter.java
@@ -0,0 +1,43 @@
+package tillerlink.storm.play;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Cuts a schedule that fails down to one that still fails: by halves, then by smaller parts, within a bound of tries. */
+public final class Cutter {
+    private Cutter() {
+    }
+
+    /**
+     * The shortest it could find.
+     *
+     * @param fails plays a schedule and tells whether it fails likewise
+     * @param tries how many plays it may take
+     */
+    public static Schedule cut(Schedule failing, Predicate<Schedule> fails, int tries) {
+        Schedule best = failing;
+        int left = tries;
+        for (int parts = 2; left > 0 && !best.steps().isEmpty();) {
+            int size = Math.max(1, (best.steps().size() + parts - 1) / parts);
+            Schedule shorter = null;
+            for (int from = 0; from < best.steps().size() && shorter == null && left > 0; from += size) {
+                List<Step> rest = new ArrayList<>(best.steps());
+                rest.subList(from, Math.min(rest.size(), from + size)).clear();
+                left--;
+                if (fails.test(best.with(rest))) {
+                    shorter = best.with(rest);
+                }
+            }
+            if (shorter != null) {
+                best = shorter;
+                parts = Math.max(2, parts - 1);
+            } else if (size == 1) {
+                return best;
+            } else {
+                parts *= 2;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/tillerlink/storm/play/Play.java
@@ -0,0 +1,82 @@
+package tillerlink.storm.play;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import tillerlink.storm.audit.Audit;
+import tillerlink.storm.audit.Breach;
+import tillerlink.storm.audit.Rule;
+import tillerlink.storm.client.Members;
+import tillerlink.storm.process.Plan;
+import tillerlink.storm.rig.Rig;
+
+/** Plays one schedule over processes, with load, and audits it. */
+public final class Play {
+    private static final long TOGETHER_MS = 60_000;
+    private static final long PAUSE_MS = 50;
+    private static final int ENGINES = 3;
+
+    private final Path folder;
+    private final String classPath;
+
+    /** @param folder an empty one, for files, logs and disks of the processes */
+    public Play(Path folder, String classPath) {
+        this.folder = folder;
+        this.classPath = classPath;
+    }
+
+    public Played play(Schedule schedule) throws IOException {
+        Audit audit = new Audit();
+        Disturbed disturbed = new Disturbed();
+        Rig.Shape shape = new Rig.Shape(schedule.gateways(), schedule.sites(), ENGINES, 2,
+                Plan.Shared.MEMBERS);
+        try (Rig rig = new Rig(folder, schedule.seed(), shape, classPath, (engine, command) ->
+                audit.ran(engine, new String(command.statement(), StandardCharsets.UTF_8)))) {
+            rig.start();
+            List<Load> loads = List.of(new SubmissionLoad(rig, audit, disturbed, schedule.seed()));
+            Doing doing = new Doing(rig, disturbed, gateway -> { });
+            together(rig, audit, "before the play");
+            loads.forEach(Load::begin);
+            doing.play(schedule);
+            rig.heal();
+            loads.forEach(Load::end);
+            together(rig, audit, "after the play");
+            rig.violations().forEach(words -> audit.broken(Rule.INSIDE, words));
+            List<Breach> breaches = audit.end();
+            return new Played(schedule, breaches, doing.counts(), audit.submissions(), audit.appends(), audit.runs(),
+                    audit.violations());
+        }
+    }
+
+    /** Waits until every gateway says of every other that it reaches it. */
+    private static void together(Rig rig, Audit audit, String when) {
+        long until = System.nanoTime() + TOGETHER_MS * 1_000_000;
+        for (String name : rig.names()) {
+            String trouble = apart(rig, name);
+            while (!trouble.isEmpty() && System.nanoTime() < until) {
+                Load.pause(PAUSE_MS);
+                trouble = apart(rig, name);
+            }
+            if (!trouble.isEmpty()) {
+                audit.broken(Rule.NOT_TOGETHER, when + " " + name + " says: " + trouble);
+            }
+        }
+    }
+
+    /** What a gateway says that is not yet as it should be; empty if all is. */
+    private static String apart(Rig rig, String name) {
+        try {
+            Map<String, String> members = Members.of(rig.client(name));
+            for (String other : rig.names()) {
+                if (!other.equals(name) && !"reachable".equals(members.get(other))) {
+                    return members.toString();
+                }
+            }
+            return "";
+        } catch (IOException e) {
+            return e.getMessage();
+        }
+    }
+}
--- /dev/null
+++ b/storm/src/main/java/tillerlink/storm/play/SubmissionLoad.java
@@ -0,0 +1,52 @@
+package tillerlink.storm.play;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+import tillerlink.storm.audit.Audit;
+import tillerlink.storm.audit.Rule;
+import tillerlink.storm.client.HttpDoor;
+import tillerlink.storm.rig.Rig;
+
+/** Plain submissions, half of them effectful. */
+final class SubmissionLoad extends Load {
+    private static final long DEADLINE_MS = 3500;
+    /** Far more than the hard stop: a busy machine makes no client give up on a gateway that was left in peace. */
+    private static final long PATIENCE_MS = 30_000;
+    private final AtomicLong ids = new AtomicLong(0x5100);
+
+    SubmissionLoad(Rig rig, Audit audit, Disturbed disturbed, long seed) {
+        super(rig, audit, disturbed, seed);
+    }
+
+    @Override
+    long paceMs() {
+        return 40;
+    }
+
+    @Override
+    void once(String gateway, RandomGenerator chance) throws IOException {
+        boolean effectful = chance.nextBoolean();
+        String id = String.format("%016x", ids.incrementAndGet());
+        String statement = (effectful ? "UPDATE air SET mark = " : "SELECT * FROM air WHERE mark = ") + id;
+        if (!rig.gateway(gateway).isRunning()) {
+            return;
+        }
+        long began = System.nanoTime();
+        audit.handedIn(id, statement, effectful);
+        try {
+            HttpDoor.Reply reply = rig.client(gateway, PATIENCE_MS)
+                    .submit(effectful ? "book" : "look", id, statement, DEADLINE_MS);
+            if (reply.status() == 200 || reply.status() == 500 || reply.status() == 503) {
+                audit.answered(id, reply.status());
+            } else {
+                audit.broken(Rule.ONE_ANSWER, gateway + " answered " + id + " with " + reply.status() + " " + reply.body());
+            }
+        } catch (IOException e) {
+            if (disturbed.since(gateway, began)) {
+                audit.excused(id);
+            }
+            throw e;
+        }
+    }
+}
--- a/storm/src/main/java/tillerlink/storm/process/Papers.java
+++ b/storm/src/main/java/tillerlink/storm/process/Papers.java
@@ -5,12 +5,17 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 
 /** The files that a gateway is started with. */
 final class Papers {
     private static final String LOOPBACK = "127.0.0.1:";
+    /** Short ones, so that a play of seconds sees what takes minutes in the open. */
+    private static final int PROBE_MS = 150;
+    private static final int ABSENT_AFTER_S = 5;
+    private static final int LEASE_MS = 1000;
 
     private final Plan plan;
 
@@ -77,22 +82,37 @@
 
     /** What the operator has written: the parts that gateways share. */
     Path operatorFile() throws IOException {
-        String seeds = plan.reach().values().stream().map(port -> '"' + LOOPBACK + port + '"')
-                .collect(Collectors.joining(", "));
         StringBuilder text = new StringBuilder();
         text.append("log {\n  form = \"text\"\n}\n");
         text.append("store {\n  folder = \"").append(store()).append("\"\n}\n");
-        if (plan.reach().isEmpty()) {
-            return Files.writeString(plan.folder().resolve("operator.hcl"), text);
+        if (plan.shared().compareTo(Plan.Shared.MEMBERS) >= 0) {
+            members(text);
         }
+        if (plan.shared().compareTo(Plan.Shared.CHANNELS) >= 0) {
+            text.append("channels {\n  sites = ").append(listed(plan.sites())).append("\n  absent_after_s = ")
+                    .append(ABSENT_AFTER_S).append("\n}\n");
+        }
+        if (plan.shared().compareTo(Plan.Shared.STATEMENTS) >= 0) {
+            text.append("statements {\n  voters = ").append(listed(plan.voters())).append("\n  lease_ms = ")
+                    .append(LEASE_MS).append("\n}\n");
+        }
+        return Files.writeString(plan.folder().resolve("operator.hcl"), text);
+    }
+
+    private void members(StringBuilder text) {
         text.append("members {\n  fleet = \"storm\"\n  listen = \"").append(LOOPBACK).append(plan.members())
-                .append("\"\n  site = \"").append(plan.site()).append("\"\n  seeds = [").append(seeds).append("]\n");
+                .append("\"\n  site = \"").append(plan.site()).append("\"\n  probe_ms = ").append(PROBE_MS)
+                .append("\n  seeds = ").append(listed(plan.reach().values().stream().map(port -> LOOPBACK + port)
+                        .toList())).append('\n');
         for (Map.Entry<String, Integer> way : plan.reach().entrySet()) {
             text.append("  reach \"").append(way.getKey()).append("\" {\n    at = \"").append(LOOPBACK)
                     .append(way.getValue()).append("\"\n  }\n");
         }
         text.append("}\n");
-        return Files.writeString(plan.folder().resolve("operator.hcl"), text);
+    }
+
+    private static String listed(List<String> all) {
+        return all.stream().map(one -> '"' + one + '"').collect(Collectors.joining(", ", "[", "]"));
     }
 
     /** Where it keeps what outlives it. */
--- a/storm/src/main/java/tillerlink/storm/process/Plan.java
+++ b/storm/src/main/java/tillerlink/storm/process/Plan.java
@@ -18,9 +18,13 @@
  * @param voters  the gateways whose majority grants leases
  * @param names   the port of the name service
  * @param engines the ports at which it reaches engines e1, e2, ...
+ * @param shared  which parts are on
  */
 public record Plan(Path folder, String name, String site, int http, int members, Map<String, Integer> reach,
-                   List<String> sites, List<String> voters, int names, List<Integer> engines) {
+                   List<String> sites, List<String> voters, int names, List<Integer> engines, Shared shared) {
+    /** The parts that gateways share, each with those before it. */
+    public enum Shared { NOTHING, MEMBERS, CHANNELS, STATEMENTS }
+
     public Plan {
         reach = new TreeMap<>(reach);
     }
--- a/storm/src/main/java/tillerlink/storm/rig/Rig.java
+++ b/storm/src/main/java/tillerlink/storm/rig/Rig.java
@@ -33,8 +33,9 @@
      * @param sites    how many sites they stand at, in turn
      * @param engines  how many engines each reaches
      * @param workMs   how long an engine works at each statement
+     * @param shared   which parts are on
      */
-    public record Shape(int gateways, int sites, int engines, long workMs) {
+    public record Shape(int gateways, int sites, int engines, long workMs, Plan.Shared shared) {
     }
 
     public final Fabric fabric;
@@ -70,7 +71,8 @@
             List<Integer> ports = engineDoors.get(name).stream().map(Door::port).toList();
             Plan plan = new Plan(Files.createDirectories(folder.resolve(name)), name,
                     sites.get(all.indexOf(name) % sites.size()), Ports.free(), members, reach, sites,
-                    all.subList(0, voters), service, ports);
+                    all.subList(0, voters), service, ports,
+                    shape.shared());
             gateways.put(name, new GatewayProcess(plan, classPath));
             clientDoors.put(name, new Door(plan.http(), fabric.tally()));
         }
--- a/storm/src/test/java/tillerlink/storm/audit/AuditTest.java
+++ b/storm/src/test/java/tillerlink/storm/audit/AuditTest.java
@@ -95,6 +95,8 @@
             audit.ran("e1", "UPDATE 7");
             audit.excused("b3");
             audit.taken("c", "n0", 1, "k1", "s0.1");
+            audit.taken("c", "n0", 1, null, "s0.2");
+            audit.diskLost("n0");
         }));
     }
 }
--- /dev/null
+++ b/storm/src/test/java/tillerlink/storm/story/Told.java
@@ -0,0 +1,83 @@
+package tillerlink.storm.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import tillerlink.storm.client.Members;
+import tillerlink.storm.rig.Rig;
+import tillerlink.storm.rig.Timeline;
+
+/** A story as it is told: what is done to a rig, and what its gateways then say. */
+final class Told {
+    private static final long PATIENCE_MS = 60_000;
+    final Timeline timeline = new Timeline(PATIENCE_MS);
+    private final Rig rig;
+
+    Told(Rig rig) {
+        this.rig = rig;
+    }
+
+    /** Waits until every gateway says that it reaches every other. */
+    void together() {
+        timeline.until("all say that they reach each other", () -> {
+            for (String name : rig.names()) {
+                for (String other : rig.names()) {
+                    if (!other.equals(name) && !"reachable".equals(reach(name, other))) {
+                        return false;
+                    }
+                }
+            }
+            return true;
+        });
+    }
+
+    /** Waits until one says of another that it stands in one of these ways. */
+    void says(String name, String other, String... ways) {
+        timeline.until(name + " says that " + other + " is " + String.join(" or ", ways),
+                () -> List.of(ways).contains(reach(name, other)));
+    }
+
+    /** For so long one says nothing else of another than these. */
+    void goesOnSaying(long ms, String name, String other, String... ways) throws IOException {
+        List<String> heard = new ArrayList<>();
+        for (long until = System.nanoTime() + ms * 1_000_000; System.nanoTime() < until;) {
+            String way = reach(name, other);
+            if (!List.of(ways).contains(way) && !heard.contains(way)) {
+                heard.add(way);
+            }
+            pause(50);
+        }
+        timeline.note(name + " goes on saying that " + other + " is " + String.join(" or ", ways)
+                + (heard.isEmpty() ? "" : ", BUT ALSO " + heard));
+    }
+
+    String reach(String name, String other) throws IOException {
+        return Members.of(rig.client(name)).getOrDefault(other, "unknown");
+    }
+
+    static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Compares with the story that is kept; -Dkeep=FOLDER writes it anew. */
+    void kept(String name) throws IOException {
+        String keep = System.getProperty("keep");
+        if (keep != null) {
+            Files.writeString(Path.of(keep, name + ".txt"), timeline.toString());
+        }
+        try (InputStream in = Told.class.getResourceAsStream("/stories/" + name + ".txt")) {
+            assertEquals(in == null ? "(no kept story)" : new String(in.readAllBytes(), StandardCharsets.UTF_8), timeline.toString());
+        }
+        assertEquals(List.of(), rig.violations());
+    }
+}
