Let members run on a gateway's process: datagrams, disk, turns, the client's door

Module peering: a driver on MINA's datagrams that only posts to the turns' queue; what is kept goes to the store in the order in which it was handed over; parts hear that the process had been away before anything that waited. serve starts it where the operator's file names members; GET /v1/members tells who is there. Where invariants are on, a broken one ends the process with code 70. Three processes on loopback: one stopped for six seconds was gone and is back, one told to end has left.

--- /dev/null
+++ b/peering/src/main/java/tillerlink/peering/Watchdog.java
@@ -0,0 +1,31 @@
+package tillerlink.peering;
+
+import tillerlink.peers.Invariant;
+
+/**
+ * Ends the process when a part breaks its own rules: where the invariants are on, one line tells which, and nothing that
+ * may be wrong by then reaches anybody. Where they are off, a fault costs what it was in the middle of, as elsewhere in
+ * the gateway.
+ */
+final class Watchdog {
+    static final int EXIT = 70;
+
+    void run(Runnable what) {
+        try {
+            what.run();
+        } catch (Invariant.Broken e) {
+            end(e.getMessage(), e);
+        } catch (RuntimeException e) {
+            if (!Invariant.ON) {
+                throw e;
+            }
+            end("an internal fault: " + e, e);
+        }
+    }
+
+    private static void end(String words, Throwable why) {
+        System.err.println("INVARIANT " + words.replaceAll("\\s*\\R\\s*", " "));
+        why.printStackTrace();
+        Runtime.getRuntime().halt(EXIT);
+    }
+}
--- /dev/null
+++ b/peering/src/main/java/tillerlink/peering/part/Attached.java
@@ -0,0 +1,32 @@
+package tillerlink.peering.part;
+
+import tillerlink.net.state.Side;
+import tillerlink.net.wire.HttpCall;
+import tillerlink.peers.Part;
+
+/**
+ * A part of the shared state as it hangs on a gateway's process: its machine, and what clients call. All of it is called
+ * in turns of the one thread. Before any call its machine was told if the process had been away.
+ */
+public interface Attached {
+    /** What messages to it bear, 2 to 255; the same in every release, and no other part's. */
+    int number();
+
+    Part machine();
+
+    /** Whether calls of that path are its own; the path has nothing behind a question mark. */
+    boolean takes(String path);
+
+    /** A client's call of such a path, of whatever method. It is answered once, now or in a later turn. */
+    void called(long now, long wall, HttpCall call, Side.Reply reply);
+
+    /** All that came in a turn was told, and the machine has had its turn: calls that it settled are answered. */
+    default void settled(long now, long wall) {
+        // Whoever answers at once has nothing to do.
+    }
+
+    /** The process goes; some turns follow. */
+    default void drain(long now, long wall) {
+        // Whoever owes nothing has nothing to say.
+    }
+}
--- /dev/null
+++ b/peering/src/main/java/tillerlink/peering/part/Attaching.java
@@ -0,0 +1,13 @@
+package tillerlink.peering.part;
+
+/** Makes a part when the process starts. */
+public interface Attaching {
+    /** What its messages bear and its share of the disk is named by: see {@link Attached#number}. */
+    int number();
+
+    /** Its share of the disk; letters only. */
+    String name();
+
+    /** @throws IllegalArgumentException in words for the operator, if it can't be as it is told to */
+    Attached attach(Ground ground);
+}
--- /dev/null
+++ b/peering/src/main/java/tillerlink/peering/part/Ground.java
@@ -0,0 +1,23 @@
+package tillerlink.peering.part;
+
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import tillerlink.net.state.Side;
+import tillerlink.peers.Keep;
+import tillerlink.peers.Post;
+import tillerlink.peers.Roster;
+
+/**
+ * What a part stands on in a process.
+ *
+ * @param self   the own name
+ * @param site   the own site
+ * @param post   its messages go to the part of the same number
+ * @param keep   its own share of the disk
+ * @param random seeded, its own
+ * @param door   submissions; may be used from the first turn on
+ * @param clock  tenths of a millisecond, read anew each time; it goes on while the process is stopped
+ */
+public record Ground(String self, String site, Roster roster, Post post, Keep keep, RandomGenerator random,
+                     Side.Door door, LongSupplier clock) {
+}
--- /dev/null
+++ b/tools/src/main/java/tillerlink/cli/Beside.java
@@ -0,0 +1,37 @@
+package tillerlink.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import tillerlink.net.state.Side;
+import tillerlink.operator.Members;
+import tillerlink.operator.OperatorFile;
+import tillerlink.peering.Peering;
+import tillerlink.peering.Sharing;
+import tillerlink.peering.part.Attaching;
+
+/** What stands beside the module of a gateway, as the operator's file names it. */
+final class Beside {
+    private Beside() {
+    }
+
+    /** Null where the file names no members. */
+    static Side.Factory of(OperatorFile file) throws IOException {
+        Members members = file.members();
+        if (members == null) {
+            return null;
+        }
+        OperatorFile.Storing store = file.store();
+        long keepMost = (store == null ? 0 : store.bytesMost())
+                + (file.channels() == null ? 0 : file.channels().diskMost());
+        return Peering.factory(new Sharing(members.fleet(), members.site(), members.listen(), members.seeds(),
+                members.secret(), members.reach(), members.probeEvery(),
+                store == null ? null : Path.of(store.folder()), keepMost), parts(file));
+    }
+
+    /** The parts that gateways share, beside who is there. */
+    private static List<Attaching> parts(OperatorFile file) {
+        return new ArrayList<>();
+    }
+}
--- a/tools/src/main/java/tillerlink/cli/ServeCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ServeCommand.java
@@ -14,7 +14,8 @@
         description = "Serve as one gateway on sockets, as the file that EDGE_CONFIG names tells it.")
 final class ServeCommand implements Callable<Integer> {
     @Option(names = "--operator", paramLabel = "FILE",
-            description = "the operator's file; its parts log, http2 and store are used")
+            description = "the operator's file; its parts log, http2, store, members, channels"
+            + " and statements are used")
     private Path operator;
 
     @Override
@@ -26,7 +27,7 @@
         OperatorFile.Storing store = file == null ? null : file.store();
         new Node().serve(System.getenv(), Policy::new, file == null ? null : file.http2(), assignment -> store == null
                 ? null : Remembering.open(Path.of(store.folder()), assignment, store.ageMost(), store.bytesMost()),
-                null);
+                file == null ? null : Beside.of(file));
         return 0;
     }
 }
