--- a/members/src/main/java/tillerlink/members/Core.java
+++ b/members/src/main/java/tillerlink/members/Core.java
@@ -1,5 +1,6 @@
 package tillerlink.members;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import tillerlink.members.gossip.Rumours;
@@ -37,6 +38,9 @@
     private final Wire wire;
     long now;
     boolean left;
+    /** What is said before this process says nothing more; null as long as it takes part. */
+    private List<Card> lastCards;
+    private long lastAt;
     long sent;
     long sentBytes;
 
@@ -68,7 +72,7 @@
     }
 
     void send(String address, MemberMessage message) {
-        if (own.yielded() || address.isEmpty()) {
+        if (address.isEmpty()) {
             return;
         }
         byte[] body = MemberCodec.write(message);
@@ -101,6 +105,33 @@
                 : new Doubt(entry.standing(), entry.card().incarnation(), entry.card().birth());
     }
 
+    /** Another process keeps the own name: the last that is said here is where that one is. */
+    void yieldTo(Card other) {
+        lastCards = List.of(other);
+        lastAt = now;
+        watcher.yielded();
+    }
+
+    /** This process leaves. */
+    void leave() {
+        left = true;
+        lastCards = List.of();
+        lastAt = now;
+    }
+
+    /** Whether this process takes part no more. */
+    boolean isOut() {
+        return lastCards != null;
+    }
+
+    /** That this process is away, and which other has its name now. */
+    void sayLast(String address) {
+        List<Rumour> words = new ArrayList<>();
+        words.add(new Rumour(self, Standing.LEFT, own.card(), "", now - lastAt));
+        lastCards.forEach(card -> words.add(new Rumour(self, Standing.ALIVE, card, "", now - lastAt)));
+        send(address, new MemberMessage.Gossip(own.card(), Doubt.NONE, words));
+    }
+
     /** The own incarnation rose: the first thing to be told. */
     void raised() {
         rumours.put(self, "");
--- a/members/src/main/java/tillerlink/members/Hearing.java
+++ b/members/src/main/java/tillerlink/members/Hearing.java
@@ -41,6 +41,13 @@
     }
 
     void told(String from, MemberMessage message) {
+        if (core.isOut()) {
+            if (core.own.yielded() && message instanceof MemberMessage.Probe probe) {
+                // Its address may be a seed of somebody: that is told where the name is now.
+                core.sayLast(probe.card().address());
+            }
+            return;
+        }
         if (from.equals(core.self)) {
             self(message);
             return;
@@ -57,14 +64,14 @@
         if (message instanceof MemberMessage.Probe probe) {
             probe(from, probe);
         } else if (message instanceof MemberMessage.Ack ack) {
-            own(ack.doubt(), "");
+            own(ack.doubt());
             ack(from, ack);
         } else if (message instanceof MemberMessage.Ask ask) {
             relay(from, ask);
         } else if (message instanceof MemberMessage.Vouch vouch) {
             asking.probes.vouched(vouch.number(), vouch.reached());
         } else if (message instanceof MemberMessage.Gossip gossip) {
-            own(gossip.doubt(), "");
+            own(gossip.doubt());
         } else if (message instanceof MemberMessage.Digest digest) {
             digests.told(digest, digest.card().address());
         }
@@ -101,7 +108,7 @@
             core.gossip(probe.card().address(), Doubt.NONE, 0);
             return;
         }
-        own(probe.doubt(), "");
+        own(probe.doubt());
         core.send(probe.card().address(), new MemberMessage.Ack(core.own.card(), probe.number(),
                 core.doubt(from, probe.card()), answerNews(probe)));
     }
@@ -165,7 +172,7 @@
 
     private void rumour(Rumour told) {
         if (told.name().equals(core.self)) {
-            own(new Doubt(told.standing(), told.card().incarnation(), told.card().birth()), told.card().address());
+            own(told.standing(), told.card());
             return;
         }
         boolean doubtful = core.now <= doubtfulUntil;
@@ -180,7 +187,8 @@
                 core.lines.line(Lines.Kind.FULL, core.now, "members: no room for " + rumour.name() + ", "
                         + core.periods.mostMembers() + " others take part already");
             }
-            default -> {
+            case OUTDATED -> outdated(rumour);
+            case KNOWN -> {
                 // nothing new
             }
         }
@@ -190,20 +198,33 @@
         }
     }
 
+    /** Another process of the name of one that is away may not know yet what it has to stand above. */
+    private void outdated(Rumour rumour) {
+        Entry entry = core.table.get(rumour.name());
+        if (rumour.standing() == Standing.ALIVE && !entry.standing().takesPart()
+                && rumour.card().birth() != entry.card().birth()) {
+            asking.verify(rumour);
+        }
+    }
+
     // ---- the own name ----
 
-    private void own(Doubt doubt, String address) {
-        if (!doubt.is() || core.left || core.own.yielded()) {
+    private void own(Doubt doubt) {
+        own(doubt.standing(), new Card(doubt.incarnation(), doubt.birth(), "", ""));
+    }
+
+    private void own(Standing standing, Card card) {
+        if (card.incarnation() == 0 || core.left || core.own.yielded()) {
             return;
         }
-        Own.Answer answer = core.own.told(doubt.standing(), doubt.incarnation(), doubt.birth(), address);
-        settle(answer, address);
-        if (answer == Own.Answer.RAISED && doubt.birth() == core.own.card().birth()) {
+        Own.Answer answer = core.own.told(standing, card.incarnation(), card.birth(), card.address());
+        settle(answer, card);
+        if (answer == Own.Answer.RAISED && card.birth() == core.own.card().birth()) {
             asking.health.worse(1);
         }
     }
 
-    private void settle(Own.Answer answer, String address) {
+    private void settle(Own.Answer answer, Card other) {
         switch (answer) {
             case NOTHING -> {
                 // it says what is so
@@ -212,13 +233,13 @@
             case RAISED_OVER_RIVAL -> {
                 core.raised();
                 core.lines.line(Lines.Kind.RIVAL, core.now, "members: another process is told of under the own name "
-                        + core.self + ", at " + address);
-                asking.rival(address);
+                        + core.self + ", at " + other.address());
+                asking.rival(other.address());
             }
             case YIELD -> {
                 core.lines.line(Lines.Kind.OWN, core.now, "members: another process keeps the name " + core.self
                         + "; this one takes part no more until it is started under another name");
-                core.watcher.yielded();
+                core.yieldTo(other);
             }
         }
     }
@@ -231,10 +252,10 @@
         }
         if (message instanceof MemberMessage.Ack ack
                 && asking.probes.answered(ack.number(), core.self, core.now) != null) {
-            settle(core.own.lives(card.birth()), card.address());
+            settle(core.own.lives(card.birth()), card);
             return;
         }
-        own(new Doubt(Standing.ALIVE, card.incarnation(), card.birth()), card.address());
+        own(Standing.ALIVE, card);
         if (message instanceof MemberMessage.Probe probe) {
             core.send(card.address(), new MemberMessage.Ack(core.own.card(), probe.number(), Doubt.NONE,
                     List.of()));
--- a/members/src/main/java/tillerlink/members/Members.java
+++ b/members/src/main/java/tillerlink/members/Members.java
@@ -26,8 +26,8 @@
  */
 public final class Members implements Part, Roster {
     private static final int PIECES_AT_ONCE = 8;
-    private static final int LEAVE_TO = 6;
-    private static final int LEAVE_TIMES = 3;
+    private static final int LAST_TO = 6;
+    private static final int LAST_TIMES = 3;
     private static final int SMALL_EVERY = 4;
     private static final int RANDOM_BITS = 20;
 
@@ -47,8 +47,8 @@
     private long forgetAt;
     private long promised = Long.MAX_VALUE;
     private int gossipRound;
-    private int leaveSaid;
-    private long leaveAt;
+    private int lastSaid;
+    private long lastAt = Long.MIN_VALUE;
     private long malformed;
     private long awayCount;
 
@@ -102,9 +102,6 @@
     @Override
     public void told(long now, long wall, String from, byte[] body) {
         enter(now, wall);
-        if (isOut()) {
-            return;
-        }
         try {
             hearing.told(from, MemberCodec.read(body));
         } catch (MalformedMessageException e) {
@@ -117,9 +114,9 @@
     @Override
     public void turn(long now, long wall) {
         enter(now, wall);
-        if (core.left) {
-            sayLeft();
-        } else if (!core.own.yielded()) {
+        if (core.isOut()) {
+            sayLast();
+        } else {
             doDue();
         }
         promised = dueAt();
@@ -198,11 +195,8 @@
         if (!started) {
             return 0;
         }
-        if (core.left) {
-            return stopped() ? Long.MAX_VALUE : leaveAt;
-        }
-        if (core.own.yielded()) {
-            return Long.MAX_VALUE;
+        if (core.isOut()) {
+            return stopped() ? Long.MAX_VALUE : lastAt;
         }
         long due = Math.min(Math.min(probeAt, retryAt), Math.min(digestAt, forgetAt));
         due = Math.min(due, Math.min(asking.probes.dueAt(), Math.min(asking.relays.dueAt(), core.table.dueAt())));
@@ -215,7 +209,7 @@
     public void away(long now, long wall, long lasted) {
         core.now = now;
         promised = Long.MAX_VALUE;
-        if (!started || isOut()) {
+        if (!started || core.isOut()) {
             return;
         }
         awayCount++;
@@ -229,7 +223,7 @@
         probeAt = now + periods.answerWithin();
         gossipAt = now;
         // Some are told at once, before they give this process up.
-        for (Entry entry : core.table.someTalking(random, LEAVE_TO, "")) {
+        for (Entry entry : core.table.someTalking(random, LAST_TO, "")) {
             core.gossip(entry.card().address(), Doubt.NONE, Core.room(Core.BYTES_SMALL));
         }
     }
@@ -238,34 +232,27 @@
 
     /** This process goes: said to some, several times; {@link #stopped} once that is done, within half a period. */
     public void leave(long now) {
-        if (!isOut()) {
+        if (!core.isOut()) {
             core.now = now;
-            core.left = true;
-            core.rumours.put(core.self, "");
-            leaveAt = now;
-            sayLeft();
+            core.leave();
+            sayLast();
         }
     }
 
-    private void sayLeft() {
-        if (stopped() || core.now < leaveAt) {
+    private void sayLast() {
+        if (stopped() || core.now < lastAt) {
             return;
         }
-        leaveSaid++;
-        leaveAt = core.now + periods.period() / 5;
-        Rumour left = core.rumour(core.self, "");
-        for (Entry entry : core.table.someTalking(random, LEAVE_TO, "")) {
-            core.send(entry.card().address(), new MemberMessage.Gossip(core.own.card(), Doubt.NONE, List.of(left)));
+        lastSaid++;
+        lastAt = core.now + periods.period() / 5;
+        for (Entry entry : core.table.someTalking(random, LAST_TO, "")) {
+            core.sayLast(entry.card().address());
         }
     }
 
     /** Whether nothing more comes from this process: it left, and said so, or yielded its name. */
     public boolean stopped() {
-        return core.own.yielded() || core.left && leaveSaid >= LEAVE_TIMES;
-    }
-
-    private boolean isOut() {
-        return core.left || core.own.yielded();
+        return core.isOut() && lastSaid >= LAST_TIMES;
     }
 
     // ---- roster ----
--- a/members/src/main/java/tillerlink/members/probe/Probes.java
+++ b/members/src/main/java/tillerlink/members/probe/Probes.java
@@ -109,7 +109,8 @@
         about.done = true;
         about.nextAt = about.startedAt + keepFor(about);
         long took = Math.min(now - about.startedAt, periods.waitMost());
-        usualTrip = (7 * usualTrip + took) / 8;
+        // Slower links are believed soon, faster ones only after a while.
+        usualTrip = took > usualTrip ? (usualTrip + took) / 2 : (15 * usualTrip + took) / 16;
         return about;
     }
 
--- a/members/src/main/java/tillerlink/members/state/Entry.java
+++ b/members/src/main/java/tillerlink/members/state/Entry.java
@@ -90,7 +90,7 @@
 
     /** It answered straight. */
     public void straight(long tookIt) {
-        roundTrip = roundTrip == 0 ? tookIt : (3 * roundTrip + tookIt) / 4;
+        roundTrip = tookIt > roundTrip ? (roundTrip + tookIt + 1) / 2 : (7 * roundTrip + tookIt) / 8;
         misses = 0;
         through = false;
     }
--- a/members/src/test/java/tillerlink/members/Play.java
+++ b/members/src/test/java/tillerlink/members/Play.java
@@ -23,6 +23,7 @@
         final Members members;
         final String address;
         final String name;
+        boolean leaving;
 
         Process(String name, String address, List<String> seeds, long before) {
             this.name = name;
@@ -138,6 +139,7 @@
     }
 
     void leave(String name) {
+        up.get(at(name)).leaving = true;
         up.get(at(name)).members.leave(fleet.now());
         fleet.touched(at(name));
     }
