--- a/storm/src/main/java/tillerlink/storm/Storm.java
+++ b/storm/src/main/java/tillerlink/storm/Storm.java
@@ -19,16 +19,18 @@
 import tillerlink.storm.play.Played;
 import tillerlink.storm.play.Schedule;
 import tillerlink.storm.play.Step;
+import tillerlink.storm.process.Plan;
 
 /**
- * Plays random schedules of faults over processes of the program for some minutes. It ends with 0 only if nothing broke;
- * a schedule in which something did is cut down, and the shortest that still fails is told.
+ * Plays random schedules of faults over processes of the program for some minutes. It ends with 0 only if nothing
+ * broke; a schedule in which something did is cut down, and the shortest that still fails is told.
  */
 public final class Storm {
     private static final int TRIES = 10;
     private static final long LENGTH_MS = 8_000;
 
     private final Path folder;
+    private final Plan.Shared shared;
     private final PrintStream out;
     private final Map<Step.Kind, Integer> faults = new TreeMap<>();
     private int plays;
@@ -37,21 +39,23 @@
     private int runs;
     private int violations;
 
-    private Storm(Path folder, PrintStream out) {
+    private Storm(Path folder, Plan.Shared shared, PrintStream out) {
         this.folder = folder;
+        this.shared = shared;
         this.out = out;
     }
 
     /**
-     * @param args the seed, and how many minutes at the most a play may begin in; with a third, only the play of exactly
-     *             that seed, which a storm has told
+     * @param args the seed, and how many minutes at the most a play may begin in; with a third, only the play of
+     *             exactly that seed, which a storm has told
      */
     public static void main(String[] args) throws IOException {
         if (args.length < 2) {
             System.err.println("storm SEED MINUTES, or storm SEED 0 once for one play of a seed that a storm has told");
             System.exit(2);
         }
-        Storm storm = new Storm(Files.createTempDirectory("storm"), System.out);
+        Storm storm = new Storm(Files.createTempDirectory("storm"), Plan.Shared.valueOf(
+                System.getProperty("storm.parts", "MEMBERS")), System.out);
         boolean quiet = storm.go(Long.parseLong(args[0]), Double.parseDouble(args[1]), args.length > 2);
         System.exit(quiet ? 0 : 1);
     }
@@ -100,7 +104,7 @@
 
     private Played play(Schedule schedule) throws IOException {
         Path own = Files.createTempDirectory(folder, "play");
-        Played played = new Play(own, System.getProperty("java.class.path")).play(schedule);
+        Played played = new Play(own, System.getProperty("java.class.path"), shared).play(schedule);
         if (played.breaches().isEmpty()) {
             try (Stream<Path> all = Files.walk(own)) {
                 for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/storm/src/main/java/tillerlink/storm/client/HttpDoor.java
+++ b/storm/src/main/java/tillerlink/storm/client/HttpDoor.java
@@ -62,7 +62,8 @@
         HttpAnswers.Answer ask(String method, String path, Map<String, String> headers, String body)
                 throws IOException {
             byte[] content = body.getBytes(StandardCharsets.UTF_8);
-            StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1:" + port + "\r\n");
+            StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1:" + port)
+                    .append("\r\n");
             headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
             head.append("Content-Length: ").append(content.length).append("\r\n\r\n");
             byte[] start = head.toString().getBytes(StandardCharsets.US_ASCII);
--- a/storm/src/main/java/tillerlink/storm/fabric/Fate.java
+++ b/storm/src/main/java/tillerlink/storm/fabric/Fate.java
@@ -12,7 +12,8 @@
  */
 record Fate(boolean lost, long late, long again) {
     static Fate of(long seed, String from, String to, long ordinal, Fault fault) {
-        RandomGenerator chance = new SplittableRandom(mixed(mixed(mixed(seed, from.hashCode()), to.hashCode()), ordinal));
+        long pair = mixed(mixed(seed, from.hashCode()), to.hashCode());
+        RandomGenerator chance = new SplittableRandom(mixed(pair, ordinal));
         // Each is drawn whether or not it is asked for: a fault that is added leaves the other draws as they were.
         boolean lost = chance.nextDouble() < fault.lost();
         boolean repeated = chance.nextDouble() < fault.repeated();
--- a/storm/src/main/java/tillerlink/storm/play/Cutter.java
+++ b/storm/src/main/java/tillerlink/storm/play/Cutter.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.function.Predicate;
 
-/** Cuts a schedule that fails down to one that still fails: by halves, then by smaller parts, within a bound of tries. */
+/** Cuts a schedule that fails down to one that still does: by halves, then by smaller parts, in a bound of tries. */
 public final class Cutter {
     private Cutter() {
     }
--- a/storm/src/main/java/tillerlink/storm/play/Load.java
+++ b/storm/src/main/java/tillerlink/storm/play/Load.java
@@ -32,8 +32,9 @@
 
     final void begin() {
         for (String gateway : rig.names()) {
-            RandomGenerator chance = new SplittableRandom(seed ^ gateway.hashCode() * 31L ^ getClass().getSimpleName().hashCode());
-            Thread thread = new Thread(() -> go(gateway, chance, () -> !over), getClass().getSimpleName() + "-" + gateway);
+            String own = getClass().getSimpleName() + "-" + gateway;
+            RandomGenerator chance = new SplittableRandom(seed ^ own.hashCode() * 0x9e3779b97f4a7c15L);
+            Thread thread = new Thread(() -> go(gateway, chance, () -> !over), own);
             thread.setDaemon(true);
             thread.start();
             threads.add(thread);
--- a/storm/src/main/java/tillerlink/storm/play/Play.java
+++ b/storm/src/main/java/tillerlink/storm/play/Play.java
@@ -20,9 +20,14 @@
 
     private final Path folder;
     private final String classPath;
+    private final Plan.Shared shared;
 
-    /** @param folder an empty one, for files, logs and disks of the processes */
-    public Play(Path folder, String classPath) {
+    /**
+     * @param folder an empty one, for files, logs and disks of the processes
+     * @param shared which parts are on
+     */
+    public Play(Path folder, String classPath, Plan.Shared shared) {
+        this.shared = shared;
         this.folder = folder;
         this.classPath = classPath;
     }
@@ -31,7 +36,7 @@
         Audit audit = new Audit();
         Disturbed disturbed = new Disturbed();
         Rig.Shape shape = new Rig.Shape(schedule.gateways(), schedule.sites(), ENGINES, 2,
-                Plan.Shared.MEMBERS);
+                shared);
         try (Rig rig = new Rig(folder, schedule.seed(), shape, classPath, (engine, command) ->
                 audit.ran(engine, new String(command.statement(), StandardCharsets.UTF_8)))) {
             rig.start();
@@ -51,7 +56,10 @@
     }
 
     /** Waits until every gateway says of every other that it reaches it. */
-    private static void together(Rig rig, Audit audit, String when) {
+    private void together(Rig rig, Audit audit, String when) {
+        if (shared == Plan.Shared.NOTHING) {
+            return;
+        }
         long until = System.nanoTime() + TOGETHER_MS * 1_000_000;
         for (String name : rig.names()) {
             String trouble = apart(rig, name);
--- a/storm/src/main/java/tillerlink/storm/play/Step.java
+++ b/storm/src/main/java/tillerlink/storm/play/Step.java
@@ -60,6 +60,7 @@
     @Override
     public String toString() {
         return String.format(Locale.ROOT, "%6d ms  %-13s %s%s for %d ms%s", atMs, kind, who,
-                other.isEmpty() ? "" : " > " + other, lastsMs, amount == 0 ? "" : String.format(Locale.ROOT, " (%.4g)", amount));
+                other.isEmpty() ? "" : " > " + other, lastsMs,
+                amount == 0 ? "" : String.format(Locale.ROOT, " (%.4g)", amount));
     }
 }
--- a/storm/src/main/java/tillerlink/storm/play/SubmissionLoad.java
+++ b/storm/src/main/java/tillerlink/storm/play/SubmissionLoad.java
@@ -40,7 +40,8 @@
             if (reply.status() == 200 || reply.status() == 500 || reply.status() == 503) {
                 audit.answered(id, reply.status());
             } else {
-                audit.broken(Rule.ONE_ANSWER, gateway + " answered " + id + " with " + reply.status() + " " + reply.body());
+                audit.broken(Rule.ONE_ANSWER, gateway + " answered " + id + " with " + reply.status() + " "
+                        + reply.body());
             }
         } catch (IOException e) {
             if (disturbed.since(gateway, began)) {
--- a/storm/src/main/java/tillerlink/storm/process/Ports.java
+++ b/storm/src/main/java/tillerlink/storm/process/Ports.java
@@ -25,7 +25,8 @@
         for (int tried = 0; tried < COUNT; tried++) {
             int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
             InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-            try (ServerSocket tcp = new ServerSocket(port, 1, at.getAddress()); DatagramSocket udp = new DatagramSocket(at)) {
+            try (ServerSocket tcp = new ServerSocket(port, 1, at.getAddress());
+                    DatagramSocket udp = new DatagramSocket(at)) {
                 return tcp.getLocalPort() == udp.getLocalPort() ? port : free();
             } catch (IOException e) {
                 // Taken; the next one.
