--- a/storm/src/main/java/tillerlink/storm/process/Papers.java
+++ b/storm/src/main/java/tillerlink/storm/process/Papers.java
@@ -13,7 +13,7 @@
 final class Papers {
     private static final String LOOPBACK = "127.0.0.1:";
     /** Short ones, so that a play of seconds sees what takes minutes in the open. */
-    private static final int PROBE_MS = 150;
+    private static final int PROBE_MS = 200;
     private static final int ABSENT_AFTER_S = 5;
     private static final int LEASE_MS = 1000;
 
