Agree on an ordered log for each channel, step by step, among counted gateways

Subtitle operators at several sites write events that must end in one order on all gateways, and go on while cut off. Each gateway takes appends by itself; a prefix becomes stable by agreed steps (single-decree agreement per step among the gateways counted in), so what was told as stable rests on no clock and no guess about who is there. Who is absent is left out by such a step and taken in again by another; its events then come behind the stable prefix, marked late.

--- /dev/null
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -0,0 +1,537 @@
+package tillerlink.channels;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import tillerlink.channels.agree.Agreement;
+import tillerlink.channels.cue.Cue;
+import tillerlink.channels.entry.Appended;
+import tillerlink.channels.entry.Draft;
+import tillerlink.channels.entry.Incarnations;
+import tillerlink.channels.entry.Stamps;
+import tillerlink.channels.epoch.Standings;
+import tillerlink.channels.journal.ChannelLog;
+import tillerlink.channels.journal.Journal;
+import tillerlink.channels.journal.Placed;
+import tillerlink.channels.journal.Sum;
+import tillerlink.channels.quota.Room;
+import tillerlink.channels.recovery.Store;
+import tillerlink.channels.sync.Fetcher;
+import tillerlink.channels.sync.Server;
+import tillerlink.channels.sync.Wire;
+import tillerlink.messages.MalformedMessageException;
+import tillerlink.messages.channels.ChannelsCodec;
+import tillerlink.messages.channels.ChannelsMessage;
+import tillerlink.messages.channels.ChannelsMessage.Cuts;
+import tillerlink.messages.channels.ChannelsMessage.CutsWanted;
+import tillerlink.messages.channels.ChannelsMessage.Piece;
+import tillerlink.messages.channels.ChannelsMessage.Report;
+import tillerlink.messages.channels.ChannelsMessage.Standing;
+import tillerlink.messages.channels.ChannelsMessage.SumPart;
+import tillerlink.messages.channels.ChannelsMessage.SumWanted;
+import tillerlink.messages.channels.ChannelsMessage.Want;
+import tillerlink.messages.channels.Cut;
+import tillerlink.messages.channels.Dot;
+import tillerlink.messages.channels.Entry;
+import tillerlink.messages.channels.Span;
+import tillerlink.peers.Invariant;
+import tillerlink.peers.Keep;
+import tillerlink.peers.Part;
+import tillerlink.peers.Post;
+import tillerlink.peers.Roster;
+
+/**
+ * The logs of all channels at one gateway. Takes appends at any time, also cut off, and gives a log of which a prefix is
+ * stable: agreed on by a majority of the gateways counted in, and from then on the same everywhere and for good.
+ */
+public final class Channels implements Part {
+    private static final long REPORT_BUSY = 2500;
+    private static final long REPORT_IDLE = 10_000;
+    private static final int REPORT_SPANS = 32;
+    private static final int REPORT_OTHERS = 8;
+    private static final int NAME_MOST = 64;
+    private static final long LOG_LEAST = 100_000;
+    private static final int PENDING_MOST = 1024;
+
+    private record Asker(Draft draft, Consumer<Appended> answer) {
+    }
+
+    private final Terms terms;
+    private final Roster roster;
+    private final Consumer<String> log;
+    private final Journal journal;
+    private final Store store;
+    private final Stamps stamps;
+    private final Wire wire;
+    private final Fetcher fetcher;
+    private final Server server;
+    private final Standings standings = new Standings();
+    private final Agreement agreement;
+    private final Room room;
+    private final RandomGenerator random;
+    private final long incarnation;
+    private final TreeMap<Long, Entry> pending = new TreeMap<>();
+    private final TreeMap<String, List<Asker>> pendingKeys = new TreeMap<>();
+    private final TreeMap<String, Long> logged = new TreeMap<>();
+    private final TreeMap<Long, String> owners = new TreeMap<>();
+    private long pendingBytes;
+    private long sequence;
+    private long top;
+    private Dot[] lastSeen = new Dot[0];
+    private long reportedAt = Long.MIN_VALUE / 2;
+    private long now;
+    private long wall;
+    private long refusedAhead;
+    private long malformed;
+    private long ownTakenBack;
+    private long twoContents;
+
+    /**
+     * @param log takes lines for the gateway's log, few of each kind
+     * @param wall the machine's clock, in tenths of a millisecond since 1970
+     */
+    public Channels(Terms terms, Roster roster, Post post, Keep keep, RandomGenerator random, long wall,
+            Consumer<String> log) {
+        this.terms = terms;
+        this.roster = roster;
+        this.random = random;
+        this.log = log;
+        this.wall = wall;
+        journal = new Journal(terms.counted());
+        store = new Store(keep);
+        stamps = new Stamps(terms.aheadMillis());
+        wire = new Wire(roster, post, random);
+        fetcher = new Fetcher(journal, wire);
+        server = new Server(journal, wire);
+        room = new Room(terms.bytes());
+        store.load(journal);
+        incarnation = Incarnations.draw(store.foundIncarnation(), wall, random);
+        store.incarnation(incarnation);
+        journal.tail().forEach(entry -> stamps.saw(entry.stamp()));
+        stamps.saw(journal.upTo());
+        agreement = new Agreement(roster.self(), incarnation, terms.counted(), terms.absentAfter(), journal, store, wire,
+                server, fetcher, standings, random);
+    }
+
+    // ---- for clients ----
+
+    /**
+     * Appends an event.
+     *
+     * @param answer told in this turn if it is refused or was there already, otherwise once it is kept; never told if the
+     *               disk fails meanwhile
+     */
+    public void append(long now, long wall, String channel, Draft draft, Consumer<Appended> answer) {
+        time(now, wall);
+        String fault = channel.isEmpty() || channel.length() > NAME_MOST ? "a channel's name has 1 to 64 characters"
+                : draft.fault().orElse(null);
+        if (fault != null) {
+            answer.accept(new Appended.Refused(fault, 0));
+            return;
+        }
+        if (!draft.key().isEmpty() && isAgain(channel, draft, answer)) {
+            return;
+        }
+        for (Dot dot : draft.seen() == null ? List.<Dot>of() : draft.seen()) {
+            if (stamps.isTooFarAhead(now, wall, dot.stamp())) {
+                answer.accept(new Appended.Refused("what it names as seen has a stamp too far ahead of the time", 0));
+                return;
+            }
+            stamps.saw(dot.stamp());
+        }
+        long tooFarBy = stamps.tooFarBy(now, wall);
+        if (tooFarBy > 0) {
+            refusedAhead++;
+            say("ahead", "an append was refused: its stamp would be " + tooFarBy + " ms further ahead of the fleet's time"
+                    + " than the " + terms.aheadMillis() + " ms allowed; set this machine's clock right");
+            answer.accept(new Appended.Refused("this gateway's clock is too far ahead of the fleet's", tooFarBy * 10));
+            return;
+        }
+        write(channel, draft, answer);
+    }
+
+    private boolean isAgain(String channel, Draft draft, Consumer<Appended> answer) {
+        List<Asker> waiting = pendingKeys.get(channel + "/" + draft.key());
+        if (waiting != null) {
+            if (waiting.size() >= PENDING_MOST) {
+                answer.accept(new Appended.Refused("too many ask with this key", Room.COME_BACK));
+            } else if (!same(waiting.get(0).draft, draft)) {
+                answer.accept(otherContent());
+            } else {
+                waiting.add(new Asker(draft, answer));
+            }
+            return true;
+        }
+        ChannelLog of = journal.logs().get(channel);
+        Dot dot = of == null ? null : of.key(draft.key());
+        if (dot == null) {
+            return false;
+        }
+        Entry entry = journal.entry(dot.incarnation(), dot.sequence());
+        answer.accept(entry == null || entry.kind() == draft.kind() && entry.cue().equals(draft.cue())
+                && entry.text().equals(draft.text()) ? new Appended.Taken(dot, true) : otherContent());
+        return true;
+    }
+
+    private static boolean same(Draft one, Draft other) {
+        return one.kind() == other.kind() && one.cue().equals(other.cue()) && one.text().equals(other.text());
+    }
+
+    private static Appended otherContent() {
+        return new Appended.Refused("this key stands for an event that says otherwise", 0);
+    }
+
+    private void write(String channel, Draft draft, Consumer<Appended> answer) {
+        Entry entry = new Entry(roster.self(), roster.site(roster.self()), incarnation, sequence + 1, stamps.next(wall),
+                channel, draft.kind(), draft.cue(), draft.text(), draft.airsAt(), draft.key(), over(channel, draft), seen());
+        if (pending.size() >= PENDING_MOST
+                || !room.takes(journal, channel, entry.weight(), roster.names().size() + 1, pendingBytes)) {
+            say("full", "channel " + channel + " is full of events that are not agreed on: appends are refused");
+            answer.accept(new Appended.Refused("the channel is full", Room.COME_BACK));
+            return;
+        }
+        Invariant.holds(!journal.held().has(incarnation, entry.sequence()), () -> "an own number is used a second time");
+        if (!store.entry(entry, () -> kept(entry, answer))) {
+            say("disk", "an append could not be kept: the disk is full or has failed");
+            answer.accept(new Appended.Refused("it can't be kept here: the disk is full or has failed", Room.COME_BACK));
+            return;
+        }
+        sequence++;
+        pending.put(entry.sequence(), entry);
+        pendingBytes += entry.weight();
+        if (!draft.key().isEmpty()) {
+            pendingKeys.put(channel + "/" + draft.key(), new ArrayList<>(List.of(new Asker(draft, answer))));
+        }
+    }
+
+    private List<Dot> over(String channel, Draft draft) {
+        if (draft.seen() != null) {
+            return List.copyOf(draft.seen());
+        }
+        ChannelLog of = journal.logs().get(channel);
+        return of == null || draft.cue().isEmpty() ? List.of()
+                : of.cue(draft.cue(), journal.upTo()).standing().stream().limit(Draft.SEEN_MOST).toList();
+    }
+
+    /** What is held of those that wrote of late, as far as it is more than when this gateway wrote last. */
+    private List<Dot> seen() {
+        List<Dot> seen = new ArrayList<>();
+        for (long other : journal.extra().incarnations()) {
+            long prefix = journal.held().prefix(other);
+            if (other != incarnation && prefix > 0 && seen.size() < Draft.SEEN_MOST && isNews(other, prefix)) {
+                Entry last = journal.entry(other, prefix);
+                seen.add(new Dot(other, prefix, last == null ? 0 : last.stamp()));
+            }
+        }
+        lastSeen = seen.isEmpty() ? lastSeen : seen.toArray(new Dot[0]);
+        return seen;
+    }
+
+    private boolean isNews(long other, long prefix) {
+        for (Dot dot : lastSeen) {
+            if (dot.incarnation() == other && dot.sequence() == prefix) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void kept(Entry entry, Consumer<Appended> answer) {
+        pending.remove(entry.sequence());
+        pendingBytes -= entry.weight();
+        top = entry.sequence();
+        journal.put(entry);
+        wire.spread(new Piece(0, true, List.of(entry)), journal.voters());
+        Appended taken = new Appended.Taken(entry.dot(), false);
+        List<Asker> askers = entry.key().isEmpty() ? null : pendingKeys.remove(entry.channel() + "/" + entry.key());
+        if (askers == null) {
+            answer.accept(taken);
+        } else {
+            for (int i = 0; i < askers.size(); i++) {
+                askers.get(i).answer.accept(i == 0 ? taken : new Appended.Taken(entry.dot(), true));
+            }
+        }
+    }
+
+    /** @param bytesMost about so many bytes of events, at least one event */
+    public Page read(String channel, long from, int bytesMost) {
+        ChannelLog of = journal.logs().get(channel);
+        if (of == null) {
+            return new Page(0, 0, List.of(), false);
+        }
+        List<Page.Line> lines = new ArrayList<>();
+        long bytes = 0;
+        long index = Math.max(from, of.first());
+        for (; index < of.stableCount(); index++) {
+            Placed placed = of.stable(index);
+            bytes += placed.entry().weight();
+            if (bytes > bytesMost && !lines.isEmpty()) {
+                return new Page(of.first(), of.stableCount(), lines, true);
+            }
+            lines.add(new Page.Line(index, placed.entry(), true, placed.late(), placed.repeat()));
+        }
+        long at = of.stableCount();
+        for (Entry entry : of.tail()) {
+            if (at >= index) {
+                bytes += entry.weight();
+                if (bytes > bytesMost && !lines.isEmpty()) {
+                    return new Page(of.first(), of.stableCount(), lines, true);
+                }
+                lines.add(new Page.Line(at, entry, false, entry.stamp() <= journal.upTo(), of.isRepeat(entry)));
+            }
+            at++;
+        }
+        return new Page(of.first(), of.stableCount(), lines, false);
+    }
+
+    /** All cues of a channel as they stand, provisional events counted. */
+    public List<Cue> cues(String channel) {
+        ChannelLog of = journal.logs().get(channel);
+        return of == null ? List.of() : of.cues(journal.upTo());
+    }
+
+    /** Channels that have events. */
+    public List<String> names() {
+        return List.copyOf(journal.logs().keySet());
+    }
+
+    public State state() {
+        long stable = journal.logs().values().stream().mapToLong(ChannelLog::stableCount).sum();
+        return new State(incarnation, journal.applied(), journal.decided(), journal.base(), journal.tail().size(), stable,
+                journal.bytes(), journal.voters(), agreement.votes(), agreement.leads(), refusedAhead, malformed,
+                fetcher.again(), store.failures(), ownTakenBack, twoContents);
+    }
+
+    // ---- from others ----
+
+    @Override
+    public void told(long now, long wall, String from, byte[] body) {
+        time(now, wall);
+        try {
+            told(from, ChannelsCodec.message(body));
+        } catch (MalformedMessageException e) {
+            malformed++;
+            say("malformed", "a message of " + from + " about channels can't be read: " + e.getMessage());
+        }
+    }
+
+    private void told(String from, ChannelsMessage message) {
+        if (message instanceof Report it) {
+            reported(from, it);
+        } else if (message instanceof Piece it) {
+            it.entries().forEach(entry -> take(from, entry));
+            fetcher.got(now, from, it);
+        } else if (message instanceof Want it) {
+            server.want(from, it);
+        } else if (message instanceof Cuts it) {
+            it.cuts().forEach(this::learn);
+        } else if (message instanceof CutsWanted it) {
+            server.cuts(from, it.from());
+        } else if (message instanceof SumWanted it) {
+            server.sum(from, it);
+        } else if (message instanceof SumPart it) {
+            byte[] whole = fetcher.got(now, from, it);
+            if (whole != null) {
+                startFrom(from, whole);
+            }
+        } else {
+            agreement.told(now, from, message);
+        }
+    }
+
+    private void reported(String from, Report report) {
+        if (!report.own().gateway().equals(from)) {
+            malformed++;
+            return;
+        }
+        Report before = fetcher.report(from);
+        if (before != null && before.own().incarnation() < report.own().incarnation()) {
+            restarted(from, before.own(), report);
+        }
+        Long digest = journal.digest(report.applied());
+        Invariant.holds(digest == null || digest == report.digest(), () -> "stable events up to step " + report.applied()
+                + " differ between " + roster.self() + " and " + from);
+        stamps.heard(now, wall, from, report.wall());
+        standings.take(now, report.own());
+        report.others().forEach(other -> {
+            if (!other.gateway().equals(roster.self())) {
+                standings.take(now, other);
+            }
+        });
+        fetcher.reported(now, from, report);
+    }
+
+    /** One that started anew and lacks what it had said to hold of its own: its disk is lost, or an old copy. */
+    private void restarted(String from, Standing before, Report report) {
+        if (before.top() == 0) {
+            return;
+        }
+        tillerlink.channels.journal.Holdings theirs = new tillerlink.channels.journal.Holdings();
+        report.extra().forEach(theirs::add);
+        if (report.applied() >= journal.base()) {
+            journal.placed().spans(before.incarnation()).forEach(theirs::add);
+            for (Cut cut : journal.cuts().tailMap(report.applied(), false).headMap(journal.applied(), true).values()) {
+                List<Span> back = new ArrayList<>(cut.spans());
+                back.removeIf(span -> span.incarnation() != before.incarnation());
+                back.forEach(theirs::remove);
+            }
+            report.extra().forEach(theirs::add);
+        }
+        List<Span> lacking = new ArrayList<>();
+        theirs.missing(new Span(before.incarnation(), 1, before.top()), lacking);
+        long count = lacking.stream().mapToLong(Span::size).sum();
+        if (count > 0) {
+            say("lost " + from, from + " came back with a lost or an old disk: it lacks " + count
+                    + " events of its own, which it is given back");
+        }
+    }
+
+    private void take(String from, Entry entry) {
+        if (journal.held().has(entry.incarnation(), entry.sequence())) {
+            if (!journal.sameAsHeld(entry)) {
+                twoContents++;
+                say("two", from + " has another event under the name " + entry.dot().text() + "; it is not taken");
+            }
+            journal.put(entry);
+            return;
+        }
+        if (stamps.isTooFarAhead(now, wall, entry.stamp()) && !isAgreed(entry)) {
+            refusedAhead++;
+            say("ahead of " + entry.gateway(), "an event of " + entry.gateway() + " is not taken yet: its stamp is further"
+                    + " ahead of the time than the " + terms.aheadMillis() + " ms allowed");
+            return;
+        }
+        if (!store.entry(entry, null)) {
+            say("disk", "events of others can't be kept: the disk is full or has failed");
+            return;
+        }
+        stamps.saw(entry.stamp());
+        if (entry.gateway().equals(roster.self())) {
+            ownTakenBack++;
+            say("own", "events of this gateway's own past are taken back from " + from + ": its disk is lost or an old copy");
+        }
+        journal.put(entry);
+        journal.apply();
+    }
+
+    private boolean isAgreed(Entry entry) {
+        for (Cut cut : journal.cuts().tailMap(journal.applied(), false).values()) {
+            for (Span span : cut.spans()) {
+                if (span.incarnation() == entry.incarnation() && span.from() <= entry.sequence()
+                        && span.to() >= entry.sequence()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private void learn(Cut cut) {
+        if (journal.learn(cut)) {
+            store.cut(cut);
+            stamps.saw(cut.upTo());
+            journal.apply();
+        }
+    }
+
+    private void startFrom(String from, byte[] bytes) {
+        try {
+            Sum sum = Sum.read(bytes);
+            if (sum.slot() <= journal.applied()) {
+                return;
+            }
+            long before = journal.base();
+            List<Entry> all = new ArrayList<>();
+            journal.held().spans().forEach(span -> all.addAll(journal.entries(span)));
+            List<Entry> rest = journal.startFrom(sum, Sum.read(bytes));
+            all.removeAll(rest);
+            store.sum(bytes, sum.slot(), before, all, before + 1);
+            rest.forEach(journal::put);
+            journal.apply();
+            stamps.saw(journal.upTo());
+            say("sum", "this gateway was far behind and starts from the sum of " + from + " at step " + sum.slot());
+        } catch (MalformedMessageException e) {
+            malformed++;
+        }
+    }
+
+    // ---- time ----
+
+    private void time(long now, long wall) {
+        this.now = now;
+        this.wall = wall;
+    }
+
+    @Override
+    public void turn(long now, long wall) {
+        time(now, wall);
+        standings.start(now);
+        standings.take(now, standing());
+        journal.apply();
+        fetcher.turn(now);
+        agreement.turn(now);
+        compact();
+        if (now >= reportDue()) {
+            report();
+        }
+    }
+
+    private Standing standing() {
+        long floor = stamps.floor(now, wall);
+        return new Standing(roster.self(), incarnation,
+                pending.isEmpty() ? floor : Math.min(floor, pending.firstEntry().getValue().stamp() - 1), top);
+    }
+
+    private long reportDue() {
+        boolean busy = !journal.tail().isEmpty() || journal.applied() < journal.decided();
+        return reportedAt + (busy ? REPORT_BUSY : REPORT_IDLE);
+    }
+
+    private void report() {
+        reportedAt = now;
+        List<Span> extra = new ArrayList<>(journal.extra().spans());
+        if (extra.size() > REPORT_SPANS) {
+            java.util.Collections.rotate(extra, random.nextInt(extra.size()));
+            extra = extra.subList(0, REPORT_SPANS);
+        }
+        Report report = new Report(wall / 10, standing(), journal.applied(), journal.decided(), journal.base(),
+                journal.digest(), extra, standings.freshest(REPORT_OTHERS));
+        wire.spread(report, journal.voters());
+    }
+
+    private void compact() {
+        long slot = journal.base();
+        if (journal.applied() - journal.base() > terms.cutsMost()) {
+            slot = journal.applied() - terms.cutsMost() + terms.cutsMost() / 8;
+        } else if (journal.bytes() > room.compactBeyond() && journal.applied() > journal.base()) {
+            slot = journal.base() + Math.max(1, (journal.applied() - journal.base()) / 4);
+        }
+        if (slot > journal.base()) {
+            long before = journal.base();
+            List<Entry> gone = journal.compact(slot);
+            store.sum(journal.sum().bytes(), journal.base(), before, gone, before + 1);
+        }
+    }
+
+    @Override
+    public long dueAt() {
+        return Math.min(Math.min(reportDue(), agreement.dueAt()), fetcher.dueAt());
+    }
+
+    @Override
+    public void away(long now, long wall, long lasted) {
+        time(now, wall);
+        agreement.away();
+        reportedAt = Long.MIN_VALUE / 2;
+    }
+
+    private void say(String kind, String line) {
+        Long last = logged.get(kind);
+        if (last == null ? logged.size() < PENDING_MOST : now - last >= LOG_LEAST) {
+            logged.put(kind, now);
+            log.accept(line);
+        }
+    }
+}
--- /dev/null
+++ b/channels/src/test/java/tillerlink/channels/Fleet.java
@@ -0,0 +1,225 @@
+package tillerlink.channels;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Random;
+import java.util.TreeMap;
+import tillerlink.channels.entry.Appended;
+import tillerlink.channels.entry.Draft;
+import tillerlink.messages.channels.Dot;
+import tillerlink.messages.channels.Kind;
+import tillerlink.peers.Keep;
+import tillerlink.peers.Reach;
+import tillerlink.peers.Roster;
+import tillerlink.virtual.Fault;
+import tillerlink.virtual.MemoryKeep;
+import tillerlink.virtual.VirtualFleet;
+
+/**
+ * Gateways with channels in virtual time, and an audit from outside: it knows what was appended and answered, and what
+ * readers of each gateway were told over time, and nothing of what is inside.
+ */
+final class Fleet {
+    static final long SECOND = 10_000;
+    static final int ALL = 1 << 30;
+
+    final Random random;
+    final VirtualFleet net;
+    final List<String> names;
+    final Terms terms;
+    final Map<String, Channels> running = new TreeMap<>();
+    final Map<String, MemoryKeep> disks = new HashMap<>();
+    final Map<String, NavigableMap<String, byte[]>> copies = new HashMap<>();
+    final List<String> log = new ArrayList<>();
+    /** What was told as stable, by channel: the first word on each place holds for good. */
+    final Map<String, TreeMap<Long, String>> told = new TreeMap<>();
+    /** Answered events, by name: gateway and what they say. */
+    final Map<String, String> answered = new TreeMap<>();
+    final Map<String, String> texts = new HashMap<>();
+    final List<String> violations = new ArrayList<>();
+    int refused;
+
+    Fleet(long seed, List<String> names, Terms terms) {
+        random = new Random(seed);
+        net = new VirtualFleet(random);
+        this.names = names;
+        this.terms = terms;
+    }
+
+    private final class Names implements Roster {
+        final String self;
+
+        Names(String self) {
+            this.self = self;
+        }
+
+        @Override
+        public String self() {
+            return self;
+        }
+
+        @Override
+        public String site(String name) {
+            return name.substring(0, 1);
+        }
+
+        @Override
+        public List<String> names() {
+            return names.stream().filter(name -> !name.equals(self)).sorted().toList();
+        }
+
+        @Override
+        public Reach reach(String name) {
+            return Reach.REACHABLE;
+        }
+    }
+
+    void startAll() {
+        names.forEach(this::start);
+    }
+
+    /** Starts a gateway on its disk, an empty one if it has none. */
+    void start(String name) {
+        MemoryKeep before = disks.get(name);
+        MemoryKeep disk = before == null ? new MemoryKeep(net, 5) : before.reopened();
+        start(name, disk);
+    }
+
+    void start(String name, MemoryKeep disk) {
+        disks.put(name, disk);
+        Channels channels = made(name, disk);
+        running.put(name, channels);
+        net.start(name, channels);
+    }
+
+    Channels made(String name, Keep keep) {
+        return new Channels(terms, new Names(name), net.post(name), keep, random, net.wall(name),
+                line -> log.add(name + ": " + line));
+    }
+
+    void kill(String name) {
+        MemoryKeep disk = disks.get(name);
+        if (running.remove(name) != null) {
+            net.kill(name);
+            disk.crash(disk.inDoubt() == 0 ? 0 : random.nextInt(disk.inDoubt() + 1));
+        }
+    }
+
+    /** Between those of one side and all the rest nothing gets through. */
+    void cut(List<String> side) {
+        for (String one : side) {
+            for (String other : names) {
+                if (!side.contains(other)) {
+                    net.between(one, other, Fault.CUT);
+                }
+            }
+        }
+    }
+
+    void append(String name, String channel, Draft draft) {
+        append(name, channel, draft, dot -> { });
+    }
+
+    void append(String name, String channel, Draft draft, java.util.function.Consumer<Dot> taken) {
+        Channels channels = running.get(name);
+        if (channels == null) {
+            return;
+        }
+        channels.append(net.now(), net.wall(name), channel, draft, answer -> {
+            if (answer instanceof Appended.Taken it) {
+                String says = channel + " " + draft.kind() + " " + draft.cue() + " " + draft.text();
+                String was = answered.put(it.id().text(), says);
+                if (was != null && !was.equals(says)) {
+                    violations.add(it.id().text() + " stands for two contents");
+                }
+                texts.put(it.id().text(), name);
+                taken.accept(it.id());
+            } else {
+                refused++;
+            }
+        });
+        net.touched(name);
+    }
+
+    static Draft cue(String cue, String text) {
+        return new Draft(Kind.CUE, cue, text, 0, "", null);
+    }
+
+    static String says(Page.Line line) {
+        return line.entry().channel() + " " + line.entry().kind() + " " + line.entry().cue() + " " + line.entry().text();
+    }
+
+    /** A reader of one gateway looks, and what it is told as stable is held against all that was told before. */
+    void look(String name) {
+        Channels channels = running.get(name);
+        if (channels == null) {
+            return;
+        }
+        for (String channel : channels.names()) {
+            TreeMap<Long, String> known = told.computeIfAbsent(channel, any -> new TreeMap<>());
+            Page page = channels.read(channel, 0, ALL);
+            for (Page.Line line : page.lines()) {
+                String id = line.entry().dot().text();
+                String what = id + (line.late() ? " late " : " ") + (line.repeat() ? "repeat " : "") + says(line);
+                if (answered.containsKey(id) && !answered.get(id).equals(says(line))) {
+                    violations.add(id + " says otherwise at " + name);
+                }
+                if (line.stable()) {
+                    String was = known.putIfAbsent(line.index(), what);
+                    if (was != null && !was.equals(what)) {
+                        violations.add("stable " + channel + " " + line.index() + " was " + was + " and is " + what
+                                + " at " + name);
+                    }
+                }
+            }
+        }
+    }
+
+    void lookAll() {
+        names.forEach(this::look);
+    }
+
+    /** At quiescence: all agree, nothing is provisional, nothing that was answered is missing. */
+    void audit(java.util.Set<String> mayBeLost) {
+        lookAll();
+        List<String> all = null;
+        for (String name : names) {
+            List<String> here = new ArrayList<>();
+            Channels channels = running.get(name);
+            for (String channel : channels.names()) {
+                Page page = channels.read(channel, 0, ALL);
+                page.lines().forEach(line -> here.add(line.index() + " " + line.stable() + " " + line.entry().dot().text()));
+                if (page.stable() != page.first() + page.lines().size()) {
+                    violations.add(name + " " + channel + " has provisional events at quiescence: " + channels.state());
+                }
+            }
+            if (all != null && !all.equals(here) && channels.state().compacted() == 0) {
+                violations.add(name + " has another log: " + here.size() + " against " + all.size());
+            }
+            all = all == null ? here : all;
+        }
+        List<String> missing = new ArrayList<>();
+        for (String id : answered.keySet()) {
+            boolean isThere = false;
+            for (TreeMap<Long, String> channel : told.values()) {
+                isThere |= channel.values().stream().anyMatch(what -> what.startsWith(id + " "));
+            }
+            if (!isThere && !mayBeLost.contains(id)) {
+                missing.add(id + " of " + texts.get(id));
+            }
+        }
+        if (!missing.isEmpty()) {
+            violations.add("answered and lost: " + missing);
+        }
+    }
+
+    List<String> shuffled() {
+        List<String> mixed = new ArrayList<>(names);
+        Collections.shuffle(mixed, random);
+        return mixed;
+    }
+}
