--- a/members/src/main/java/tillerlink/members/Hearing.java
+++ b/members/src/main/java/tillerlink/members/Hearing.java
@@ -146,7 +146,7 @@
         Entry entry = core.table.get(from);
         if (entry != null && entry.standing().takesPart()) {
             core.table.lived(entry, about.startedAt());
-            core.table.straight(entry, core.now - about.startedAt());
+            core.table.straight(entry, about.took());
         }
     }
 
@@ -198,9 +198,13 @@
         }
     }
 
-    /** Another process of the name of one that is away may not know yet what it has to stand above. */
     private void outdated(Rumour rumour) {
         Entry entry = core.table.get(rumour.name());
+        if (rumour.standing() == Standing.SUSPECTED && !entry.standing().takesPart()) {
+            // Whoever suspects it alone would wait long for others to confirm it: they have given it up already.
+            core.rumours.again(rumour.name(), core.self);
+        }
+        // Another process of the name of one that is away may not know yet what it has to stand above.
         if (rumour.standing() == Standing.ALIVE && !entry.standing().takesPart()
                 && rumour.card().birth() != entry.card().birth()) {
             asking.verify(rumour);
--- a/members/src/main/java/tillerlink/members/Members.java
+++ b/members/src/main/java/tillerlink/members/Members.java
@@ -1,7 +1,7 @@
 package tillerlink.members;
 
+import java.util.Iterator;
 import java.util.List;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import tillerlink.members.digest.Digests;
 import tillerlink.members.probe.Relays;
@@ -73,9 +73,24 @@
     private final class All implements Digests.Known {
         @Override
         public Iterable<String> names() {
-            TreeSet<String> names = new TreeSet<>(core.table.all().keySet());
-            names.add(core.self);
-            return names;
+            Iterator<String> others = core.table.all().keySet().iterator();
+            return () -> new Iterator<>() {
+                private boolean end;
+
+                @Override
+                public boolean hasNext() {
+                    return !end;
+                }
+
+                @Override
+                public String next() {
+                    if (others.hasNext()) {
+                        return others.next();
+                    }
+                    end = true;
+                    return core.self;
+                }
+            };
         }
 
         @Override
@@ -119,7 +134,7 @@
         } else {
             doDue();
         }
-        promised = dueAt();
+        promised = Math.max(now, dueAt());
     }
 
     /** A pause that nobody told of shows by what is overdue. */
--- a/members/src/main/java/tillerlink/members/digest/Digests.java
+++ b/members/src/main/java/tillerlink/members/digest/Digests.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
 import tillerlink.messages.members.Card;
 import tillerlink.messages.members.MemberCodec;
 import tillerlink.messages.members.MemberMessage;
@@ -23,7 +23,7 @@
 
     /** What is known, oneself counted. */
     public interface Known {
-        /** Names of a bucket, in their order. */
+        /** In their order; the own one last. */
         Iterable<String> names();
 
         /** As it is told on now. */
@@ -101,10 +101,10 @@
         Map<String, Rumour> theirs = new HashMap<>();
         listing.rumours().forEach(rumour -> theirs.put(rumour.name(), rumour));
         List<String> lacks = new ArrayList<>();
-        for (String name : known.names()) {
+        for (String name : names(listing.bucket())) {
             boolean within = name.compareTo(listing.after()) > 0
                     && (listing.upTo().isEmpty() || name.compareTo(listing.upTo()) <= 0);
-            if (within && bucket(name) == listing.bucket() && above(known.rumour(name), theirs.get(name))) {
+            if (within && above(known.rumour(name), theirs.get(name))) {
                 lacks.add(name);
             }
         }
@@ -135,7 +135,7 @@
         String last = task.after;
         int left = room;
         boolean whole = true;
-        for (String name : task.only != null ? new TreeSet<>(task.only) : names(task.bucket)) {
+        for (String name : task.only != null ? task.only : names(task.bucket)) {
             if (name.compareTo(task.after) <= 0) {
                 continue;
             }
@@ -159,6 +159,7 @@
         return true;
     }
 
+    /** Of a bucket, in their order. */
     private List<String> names(int bucket) {
         List<String> names = new ArrayList<>();
         for (String name : known.names()) {
@@ -166,6 +167,7 @@
                 names.add(name);
             }
         }
+        Collections.sort(names);
         return names;
     }
 
--- a/members/src/main/java/tillerlink/members/gossip/Rumours.java
+++ b/members/src/main/java/tillerlink/members/gossip/Rumours.java
@@ -45,6 +45,13 @@
         Invariant.holds(items.size() == queue.size() && queue.size() <= most, () -> "rumours: " + queue.size());
     }
 
+    /** News once more, for somebody who missed it; nothing if it is told on anyway. */
+    public void again(String name, String by) {
+        if (!items.containsKey(name)) {
+            put(name, by);
+        }
+    }
+
     public void remove(String name) {
         Item item = items.remove(name);
         if (item != null) {
--- a/members/src/main/java/tillerlink/members/probe/Probes.java
+++ b/members/src/main/java/tillerlink/members/probe/Probes.java
@@ -73,16 +73,14 @@
         if (tries.size() >= MOST && !dropDone()) {
             return;
         }
-        long patient = Math.max(periods.answerWithin(), 2 * Math.max(trip, usualTrip));
-        long wait = Math.min(periods.waitMost(), health.stretched(patient));
-        Try about = new Try(kind, number(), name, address, doubt, now, wait);
+        Try about = new Try(kind, number(), name, address, doubt, now, trip);
         tries.put(about.number, about);
         Invariant.holds(tries.size() <= MOST, () -> "questions under way: " + tries.size());
         step(about, now);
     }
 
     private long number() {
-        long number = random.nextLong();
+        long number = random.nextLong() & -Try.SENDS;
         return number == 0 || tries.containsKey(number) ? number() : number;
     }
 
@@ -99,24 +97,24 @@
 
     /** An answer came: what it answers, also if it is late; null if nothing, or if another was asked. */
     public Try answered(long number, String from, long now) {
-        Try about = tries.get(number);
+        Try about = tries.get(number & -Try.SENDS);
         if (about == null || !about.name.isEmpty() && !about.name.equals(from)) {
             return null;
         }
         if (!about.done && about.kind == Try.Kind.MEMBER) {
             health.better();
         }
-        about.done = true;
-        about.nextAt = about.startedAt + keepFor(about);
-        long took = Math.min(now - about.startedAt, periods.waitMost());
+        finish(about, now);
+        long took = Math.min(now - about.sentAt((int) (number & Try.SENDS - 1)), periods.waitMost());
+        about.took = took;
         // Slower links are believed soon, faster ones only after a while.
-        usualTrip = took > usualTrip ? (usualTrip + took) / 2 : (15 * usualTrip + took) / 16;
+        usualTrip = took > usualTrip ? (usualTrip + took) / 2 : (7 * usualTrip + took) / 8;
         return about;
     }
 
     /** Another says whether it got an answer; null if nobody asked. */
     public Try vouched(long number, boolean reached) {
-        Try about = tries.get(number);
+        Try about = tries.get(number & -Try.SENDS);
         if (about == null || about.relays == 0) {
             return null;
         }
@@ -128,10 +126,6 @@
         return about;
     }
 
-    private long keepFor(Try about) {
-        return Math.max(2 * periods.waitMost(), 8 * about.wait);
-    }
-
     public void turn(long now) {
         List<Try> due = new ArrayList<>();
         for (Try about : tries.values()) {
@@ -167,12 +161,12 @@
         switch (about.step % STEPS_EACH_ROUND) {
             case 0 -> ask(about, now, 1);
             case 1 -> {
-                steps.ask(about, true);
+                send(about, now, true);
                 next(about, now, 1);
             }
             default -> {
                 about.relays += steps.askOthers(about);
-                steps.ask(about, true);
+                send(about, now, true);
                 next(about, now, 2);
             }
         }
@@ -185,26 +179,37 @@
             end(about, now);
             return;
         }
-        steps.ask(about, !first);
+        send(about, now, !first);
         next(about, now, waits);
     }
 
     private void stepOfOthers(Try about, long now) {
         if (about.step > 1) {
-            finish(about);
+            finish(about, now);
             return;
         }
-        steps.ask(about, about.step == 1);
+        send(about, now, about.step == 1);
         next(about, now, 1 + about.step);
     }
 
-    private static void next(Try about, long now, int waits) {
+    private void send(Try about, long now, boolean bare) {
+        about.sends(now);
+        steps.ask(about, bare);
+    }
+
+    private void next(Try about, long now, int waits) {
         about.step++;
-        about.nextAt = now + waits * about.wait;
+        about.nextAt = now + waits * patience(about);
+    }
+
+    /** How long an answer is waited for before more is tried. */
+    private long patience(Try about) {
+        long patient = Math.max(periods.answerWithin(), 2 * Math.max(about.trip, usualTrip));
+        return Math.min(periods.waitMost(), health.stretched(patient));
     }
 
     private void end(Try about, long now) {
-        finish(about);
+        finish(about, now);
         if (about.vouched) {
             steps.onlyOthers(about);
             return;
@@ -216,8 +221,8 @@
     }
 
     /** Kept a little, as an answer may still come. */
-    private void finish(Try about) {
+    private void finish(Try about, long now) {
         about.done = true;
-        about.nextAt = about.startedAt + keepFor(about);
+        about.nextAt = now + 2 * periods.waitMost();
     }
 }
--- a/members/src/main/java/tillerlink/members/probe/Try.java
+++ b/members/src/main/java/tillerlink/members/probe/Try.java
@@ -18,28 +18,34 @@
         RIVAL
     }
 
+    /** Each time it is sent it has a number of its own, so that an answer shows which one it is to. */
+    static final long SENDS = 8;
+
     final Kind kind;
     final long number;
     final String name;
     final String address;
     final Doubt doubt;
     final long startedAt;
-    final long wait;
+    final long trip;
     int step;
     long nextAt;
     int relays;
     int refusals;
     boolean vouched;
     boolean done;
+    long took;
+    private final long[] sentAt = new long[(int) SENDS];
+    private int sends;
 
-    Try(Kind kind, long number, String name, String address, Doubt doubt, long now, long wait) {
+    Try(Kind kind, long number, String name, String address, Doubt doubt, long now, long trip) {
         this.kind = kind;
         this.number = number;
         this.name = name;
         this.address = address;
         this.doubt = doubt;
         startedAt = now;
-        this.wait = wait;
+        this.trip = trip;
         nextAt = now;
     }
 
@@ -47,8 +53,22 @@
         return kind;
     }
 
+    /** Of what is sent now. */
     public long number() {
-        return number;
+        return number + Math.max(0, sends - 1);
+    }
+
+    void sends(long now) {
+        sentAt[sends++] = now;
+    }
+
+    long sentAt(int send) {
+        return send < sends ? sentAt[send] : startedAt;
+    }
+
+    /** How long the answer took. */
+    public long took() {
+        return took;
     }
 
     /** Empty for a seed. */
