--- a/members/src/test/java/tillerlink/members/Play.java
+++ b/members/src/test/java/tillerlink/members/Play.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import tillerlink.members.terms.Periods;
 import tillerlink.members.terms.Watcher;
 import tillerlink.peers.Part;
@@ -14,15 +15,15 @@
 import tillerlink.virtual.VirtualFleet;
 
 /** A fleet of members in virtual time. Hosts stand under their addresses; a member's name goes on the envelope. */
-final class Play {
-    static final long MS = 10;
-    static final long SECOND = 10_000;
+public final class Play {
+    public static final long MS = 10;
+    public static final long SECOND = 10_000;
 
     /** One process. */
-    final class Process implements Part, Watcher {
-        final Members members;
-        final String address;
-        final String name;
+    public final class Process implements Part, Watcher {
+        public final Members members;
+        public final String address;
+        public final String name;
         boolean leaving;
 
         Process(String name, String address, List<String> seeds, long before) {
@@ -58,7 +59,7 @@
 
         @Override
         public void reach(String other, Reach was, Reach is) {
-            changes.add(new Change(fleet.now(), name, other, was, is));
+            heard.accept(new Change(fleet.now(), name, other, was, is));
         }
 
         @Override
@@ -77,22 +78,24 @@
         }
     }
 
-    record Change(long at, String by, String of, Reach was, Reach is) {
+    public record Change(long at, String by, String of, Reach was, Reach is) {
         @Override
         public String toString() {
             return String.format("%7.2f s  %s: %s %s -> %s", at / (double) SECOND, by, of, was, is);
         }
     }
 
-    final VirtualFleet fleet;
+    public final VirtualFleet fleet;
     final Random random;
     final Periods periods;
-    final Map<String, Process> up = new TreeMap<>();
+    public final Map<String, Process> up = new TreeMap<>();
     final Map<String, Long> kept = new TreeMap<>();
-    final List<Change> changes = new ArrayList<>();
+    public final List<Change> changes = new ArrayList<>();
+    /** Is told of each change; keeps all if nothing else is said. */
+    public Consumer<Change> heard = changes::add;
     final List<String> told = new ArrayList<>();
 
-    Play(long seed, Periods periods) {
+    public Play(long seed, Periods periods) {
         random = new Random(seed);
         fleet = new VirtualFleet(new Random(seed + 1));
         this.periods = periods;
@@ -112,28 +115,28 @@
     }
 
     /** The address that a name has if nothing else is said. */
-    static String at(String name) {
+    public static String at(String name) {
         return "10.0.0." + name;
     }
 
-    Process start(String name, String... seeds) {
+    public Process start(String name, String... seeds) {
         return start(name, at(name), kept.getOrDefault(name, 0L), seeds);
     }
 
-    Process start(String name, String address, long before, String... seeds) {
+    public Process start(String name, String address, long before, String... seeds) {
         Process process = new Process(name, address, List.of(seeds), before);
         up.put(address, process);
         fleet.start(address, process);
         return process;
     }
 
-    void startAll(String... names) {
+    public void startAll(String... names) {
         for (String name : names) {
             start(name, at(names[0]), at(names[1 % names.length]));
         }
     }
 
-    void kill(String name) {
+    public void kill(String name) {
         up.remove(at(name));
         fleet.kill(at(name));
     }
@@ -149,7 +152,7 @@
     }
 
     /** Whether all that are up hold each other, and no others, as reachable. */
-    boolean agreed() {
+    public boolean agreed() {
         for (Process one : up.values()) {
             if (!one.members.yielded() && !agrees(one)) {
                 return false;
@@ -172,13 +175,18 @@
     }
 
     /** Plays on until all agree; how long that took, or -1 if it was not so within that time. */
-    long untilAgreed(long most) {
+    public long untilAgreed(long most) {
+        return untilAgreed(most, 100 * MS);
+    }
+
+    /** The same, looked at that often. */
+    public long untilAgreed(long most, long every) {
         long start = fleet.now();
         while (fleet.now() - start <= most) {
             if (agreed()) {
                 return fleet.now() - start;
             }
-            fleet.playFor(100 * MS);
+            fleet.playFor(every);
         }
         return -1;
     }
