--- a/members/src/main/java/tillerlink/members/Core.java
+++ b/members/src/main/java/tillerlink/members/Core.java
@@ -45,16 +45,16 @@
     long sentBytes;
 
     Core(Identity identity, Periods periods, Wire wire, Watcher watcher, Table.Changes changes, RandomGenerator random,
-            long birth) {
+            long birth, Makers makers) {
         self = identity.name();
         this.periods = periods;
         this.wire = wire;
         this.watcher = watcher;
         this.random = random;
         lines = new Lines(watcher::line);
-        table = new Table(self, periods, changes);
-        rumours = new Rumours(2 * periods.mostMembers() + 1);
-        own = new Own(identity.before(), birth, identity.address(), identity.site());
+        table = makers.table(self, periods, changes);
+        rumours = makers.rumours(2 * periods.mostMembers() + 1);
+        own = makers.own(identity, birth);
     }
 
     /** What is told of a name now; null if it is not known. */
--- a/members/src/main/java/tillerlink/members/Hearing.java
+++ b/members/src/main/java/tillerlink/members/Hearing.java
@@ -52,20 +52,26 @@
             self(message);
             return;
         }
+        boolean known = takesPart(from);
         met(from, message.card());
         if (message instanceof MemberMessage.Listing listing) {
             digests.told(listing, listing.card().address());
         }
         message.rumours().forEach(this::rumour);
-        act(from, message);
+        act(from, message, known);
     }
 
-    private void act(String from, MemberMessage message) {
+    private boolean takesPart(String name) {
+        Entry entry = core.table.get(name);
+        return entry != null && entry.standing().takesPart();
+    }
+
+    private void act(String from, MemberMessage message, boolean known) {
         if (message instanceof MemberMessage.Probe probe) {
             probe(from, probe);
         } else if (message instanceof MemberMessage.Ack ack) {
             own(ack.doubt());
-            ack(from, ack);
+            ack(from, ack, known);
         } else if (message instanceof MemberMessage.Ask ask) {
             relay(from, ask);
         } else if (message instanceof MemberMessage.Vouch vouch) {
@@ -119,7 +125,8 @@
                 : core.news(Core.room(Core.BYTES_MOST));
     }
 
-    private void ack(String from, MemberMessage.Ack ack) {
+    /** @param known whether it took part already, for all that was known before this answer */
+    private void ack(String from, MemberMessage.Ack ack, boolean known) {
         Relays.For asker = asking.relays.answered(ack.number(), from);
         if (asker != null) {
             core.send(asker.address(), new MemberMessage.Vouch(core.own.card(), asker.number(), true,
@@ -134,10 +141,10 @@
             straight(from, about);
             return;
         }
-        boolean known = core.table.get(from) != null && core.table.get(from).standing().takesPart();
         rumour(new Rumour(from, Standing.ALIVE, ack.card(), "", 0));
-        if (!known && core.table.get(from) != null && core.table.get(from).standing().takesPart()) {
+        if (!known && takesPart(from)) {
             straight(from, about);
+            // A partition may have healed: both learn at once who is there on the other's side.
             compare(ack.card().address());
         }
     }
--- a/members/src/main/java/tillerlink/members/Members.java
+++ b/members/src/main/java/tillerlink/members/Members.java
@@ -59,12 +59,17 @@
      * @param wall    the machine's clock at the start, which tells processes of one name apart
      */
     public Members(Identity identity, Periods periods, Wire wire, RandomGenerator random, Watcher watcher, long wall) {
+        this(identity, periods, wire, random, watcher, wall, new Makers());
+    }
+
+    Members(Identity identity, Periods periods, Wire wire, RandomGenerator random, Watcher watcher, long wall,
+            Makers makers) {
         this.identity = identity;
         this.periods = periods;
         this.random = random;
         this.watcher = watcher;
         long birth = wall / 10 << RANDOM_BITS | random.nextInt(1 << RANDOM_BITS);
-        core = new Core(identity, periods, wire, watcher, this::changed, random, birth);
+        core = new Core(identity, periods, wire, watcher, this::changed, random, birth, makers);
         asking = new Asking(core, identity.seeds());
         digests = new Digests(new All());
         hearing = new Hearing(core, asking, digests);
--- a/members/src/main/java/tillerlink/members/gossip/Rumours.java
+++ b/members/src/main/java/tillerlink/members/gossip/Rumours.java
@@ -16,7 +16,7 @@
  * News to be told on: at most one of each member, those sent least often first. What it says is looked up when it is
  * sent, so that it is never older than what is known.
  */
-public final class Rumours {
+public class Rumours {
     private record Item(String name, String by, int sent, long order) {
     }
 
--- a/members/src/main/java/tillerlink/members/own/Own.java
+++ b/members/src/main/java/tillerlink/members/own/Own.java
@@ -9,7 +9,7 @@
  * refuted by a higher incarnation. If another process has the name too, both see each other rise; the one whose birth
  * is less yields, the same one on both sides.
  */
-public final class Own {
+public class Own {
     /** Rises of a rival after the own ones that prove, without its direct answer, that it lives. */
     private static final int RISES_PROVE = 3;
 
--- a/members/src/main/java/tillerlink/members/state/Table.java
+++ b/members/src/main/java/tillerlink/members/state/Table.java
@@ -17,7 +17,7 @@
  * All others that are known. Bounded: so many that take part, and as many again that are gone or left. Those are kept
  * for longer than any rumour of their life is believed, and only then forgotten.
  */
-public final class Table {
+public class Table {
     /** What became of a rumour. */
     public enum Outcome {
         /** It changed what is known: to be told on. */
--- a/members/src/test/java/tillerlink/members/HistoriesTest.java
+++ b/members/src/test/java/tillerlink/members/HistoriesTest.java
@@ -25,7 +25,12 @@
         final StringBuilder story = new StringBuilder();
 
         History(long seed, Periods periods) {
+            this(seed, periods, new Makers());
+        }
+
+        History(long seed, Periods periods, Makers makers) {
             play = new Play(seed, periods);
+            play.makers = makers;
             random = new Random(seed * 31 + 7);
             size = 2 + random.nextInt(6);
             for (int i = 0; i < size; i++) {
--- a/members/src/test/java/tillerlink/members/Play.java
+++ b/members/src/test/java/tillerlink/members/Play.java
@@ -31,7 +31,7 @@
             this.address = address;
             members = new Members(new Identity("f", name, "site-" + name.charAt(0), address, seeds, before), periods,
                     (to, body) -> fleet.post(address).send(to, sealed(name, body)),
-                    new java.util.SplittableRandom(random.nextLong()), this, fleet.wall(address));
+                    new java.util.SplittableRandom(random.nextLong()), this, fleet.wall(address), makers);
         }
 
         @Override
@@ -88,6 +88,7 @@
     public final VirtualFleet fleet;
     final Random random;
     final Periods periods;
+    Makers makers = new Makers();
     public final Map<String, Process> up = new TreeMap<>();
     final Map<String, Long> kept = new TreeMap<>();
     public final List<Change> changes = new ArrayList<>();
