--- a/members/src/test/java/tillerlink/members/measure/MeasureMembers.java
+++ b/members/src/test/java/tillerlink/members/measure/MeasureMembers.java
@@ -20,6 +20,9 @@
             "detection,pauses,bytes,heal,memory,others").split(","));
     private static final int BIG = Integer.getInteger("big", 1000);
 
+    private static final int[] SIZES = IntStream.of(30, 120, BIG).filter(size -> size >= Integer.getInteger("from", 0))
+            .toArray();
+
     private static String[] names(int size) {
         return IntStream.range(0, size).mapToObj(i -> String.format("g%04d", i)).toArray(String[]::new);
     }
@@ -72,7 +75,7 @@
         say("\n| members | lost | local health | given up by each: p50 | p99 | max | living suspected, each hour and "
                 + "member | living given up |");
         say("|---|---|---|---|---|---|---|---|");
-        for (int size : new int[] {30, 120, BIG}) {
+        for (int size : SIZES) {
             for (double lost : size == BIG ? new double[] {0, 0.3} : new double[] {0, 0.05, 0.2, 0.3}) {
                 detection(size, lost, true);
                 detection(size, lost, false);
@@ -203,7 +206,7 @@
     private static void heal() {
         say("\n| members | what | for | all know all again after | bytes each, until then | living given up meanwhile |");
         say("|---|---|---|---|---|---|");
-        for (int size : new int[] {30, 120, BIG}) {
+        for (int size : SIZES) {
             heal(size, 2, 60);
             if (size != BIG) {
                 heal(size, 3, 60);
