--- a/members/src/main/java/tillerlink/members/Members.java
+++ b/members/src/main/java/tillerlink/members/Members.java
@@ -1,7 +1,7 @@
 package tillerlink.members;
 
-import java.util.Iterator;
 import java.util.List;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import tillerlink.members.digest.Digests;
 import tillerlink.members.probe.Relays;
@@ -77,25 +77,13 @@
 
     private final class All implements Digests.Known {
         @Override
-        public Iterable<String> names() {
-            Iterator<String> others = core.table.all().keySet().iterator();
-            return () -> new Iterator<>() {
-                private boolean end;
-
-                @Override
-                public boolean hasNext() {
-                    return !end;
-                }
-
-                @Override
-                public String next() {
-                    if (others.hasNext()) {
-                        return others.next();
-                    }
-                    end = true;
-                    return core.self;
-                }
-            };
+        public Iterable<String> names(int bucket) {
+            if (MemberCodec.bucket(core.self) != bucket) {
+                return core.table.bucket(bucket);
+            }
+            TreeSet<String> names = new TreeSet<>(core.table.bucket(bucket));
+            names.add(core.self);
+            return names;
         }
 
         @Override
--- a/members/src/main/java/tillerlink/members/digest/Digests.java
+++ b/members/src/main/java/tillerlink/members/digest/Digests.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -23,8 +22,8 @@
 
     /** What is known, oneself counted. */
     public interface Known {
-        /** In their order; the own one last. */
-        Iterable<String> names();
+        /** Those of a bucket, in their order. */
+        Iterable<String> names(int bucket);
 
         /** As it is told on now. */
         Rumour rumour(String name);
@@ -44,23 +43,17 @@
         return tasks.isEmpty();
     }
 
-    private static int bucket(String name) {
-        int hash = name.hashCode() * 0x9e3779b9;
-        return hash >>> 27;
-    }
-
     /** The sums of all that is known. */
     public List<Integer> sums(long salt) {
-        int[] sums = new int[MemberCodec.BUCKETS];
-        for (String name : known.names()) {
-            Rumour rumour = known.rumour(name);
-            sums[bucket(name)] += sum(rumour, salt);
-        }
-        List<Integer> list = new ArrayList<>(sums.length);
-        for (int sum : sums) {
-            list.add(sum);
+        List<Integer> sums = new ArrayList<>(MemberCodec.BUCKETS);
+        for (int bucket = 0; bucket < MemberCodec.BUCKETS; bucket++) {
+            int sum = 0;
+            for (String name : known.names(bucket)) {
+                sum += sum(known.rumour(name), salt);
+            }
+            sums.add(sum);
         }
-        return list;
+        return sums;
     }
 
     private static int sum(Rumour rumour, long salt) {
@@ -101,7 +94,7 @@
         Map<String, Rumour> theirs = new HashMap<>();
         listing.rumours().forEach(rumour -> theirs.put(rumour.name(), rumour));
         List<String> lacks = new ArrayList<>();
-        for (String name : names(listing.bucket())) {
+        for (String name : known.names(listing.bucket())) {
             boolean within = name.compareTo(listing.after()) > 0
                     && (listing.upTo().isEmpty() || name.compareTo(listing.upTo()) <= 0);
             if (within && above(known.rumour(name), theirs.get(name))) {
@@ -135,7 +128,7 @@
         String last = task.after;
         int left = room;
         boolean whole = true;
-        for (String name : task.only != null ? task.only : names(task.bucket)) {
+        for (String name : task.only != null ? task.only : known.names(task.bucket)) {
             if (name.compareTo(task.after) <= 0) {
                 continue;
             }
@@ -159,18 +152,6 @@
         return true;
     }
 
-    /** Of a bucket, in their order. */
-    private List<String> names(int bucket) {
-        List<String> names = new ArrayList<>();
-        for (String name : known.names()) {
-            if (bucket(name) == bucket) {
-                names.add(name);
-            }
-        }
-        Collections.sort(names);
-        return names;
-    }
-
     /** Where pieces go. */
     @FunctionalInterface
     public interface Sender {
--- a/members/src/main/java/tillerlink/members/state/Table.java
+++ b/members/src/main/java/tillerlink/members/state/Table.java
@@ -1,13 +1,17 @@
 package tillerlink.members.state;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import tillerlink.members.terms.Periods;
 import tillerlink.messages.members.Card;
+import tillerlink.messages.members.MemberCodec;
 import tillerlink.messages.members.Rumour;
 import tillerlink.messages.members.Standing;
 import tillerlink.peers.Invariant;
@@ -44,6 +48,7 @@
     private final Changes changes;
     private final NavigableMap<String, Entry> entries = new TreeMap<>();
     private final Map<String, Entry> suspected = new TreeMap<>();
+    private final List<NavigableSet<String>> buckets = new ArrayList<>();
     private final Picks talking = new Picks();
     private final Picks gone = new Picks();
 
@@ -51,6 +56,9 @@
         this.self = self;
         this.periods = periods;
         this.changes = changes;
+        for (int i = 0; i < MemberCodec.BUCKETS; i++) {
+            buckets.add(new TreeSet<>());
+        }
     }
 
     // ---- who is there ----
@@ -61,7 +69,12 @@
     }
 
     public NavigableMap<String, Entry> all() {
-        return entries;
+        return Collections.unmodifiableNavigableMap(entries);
+    }
+
+    /** The names that fall into a bucket of digests, in their order. */
+    public NavigableSet<String> bucket(int bucket) {
+        return Collections.unmodifiableNavigableSet(buckets.get(bucket));
     }
 
     /** Those that take part, oneself counted. */
@@ -287,8 +300,9 @@
         old.forEach(this::remove);
     }
 
-    private void remove(Entry entry) {
+    void remove(Entry entry) {
         entries.remove(entry.name());
+        buckets.get(MemberCodec.bucket(entry.name())).remove(entry.name());
         unlist(entry);
     }
 
@@ -296,6 +310,7 @@
 
     private void add(Entry entry) {
         entries.put(entry.name(), entry);
+        buckets.get(MemberCodec.bucket(entry.name())).add(entry.name());
         list(entry);
         Invariant.holds(entries.size() <= 2 * periods.mostMembers(), () -> "members known: " + entries.size());
     }
--- a/members/src/test/java/tillerlink/members/state/FaultyTable.java
+++ b/members/src/test/java/tillerlink/members/state/FaultyTable.java
@@ -58,7 +58,7 @@
     public Entry expire(long now) {
         Entry gone = super.expire(now);
         if (gone != null && what == What.FORGETS_AT_ONCE) {
-            all().remove(gone.name());
+            remove(gone);
             changes.changed(gone, gone.reach(), Card.NONE);
         }
         return gone;
--- a/messages/src/main/java/tillerlink/messages/members/MemberCodec.java
+++ b/messages/src/main/java/tillerlink/messages/members/MemberCodec.java
@@ -42,6 +42,11 @@
     private MemberCodec() {
     }
 
+    /** Which bucket of a digest a name falls into; the same in every release. */
+    public static int bucket(String name) {
+        return name.hashCode() * 0x9e3779b9 >>> 27;
+    }
+
     public static byte[] write(MemberMessage message) {
         FieldWriter out = new FieldWriter();
         if (message instanceof MemberMessage.Probe probe) {
