--- a/storm/src/main/java/tillerlink/storm/audit/Rule.java
+++ b/storm/src/main/java/tillerlink/storm/audit/Rule.java
@@ -16,6 +16,8 @@
     STABLE_CHANGED,
     /** In the end every gateway has the same log. */
     LOGS_DIFFER,
+    /** At rest nothing is outstanding: all that is in the logs is stable. */
+    NOT_SETTLED,
     /** The same key at the same gateway gives the same event. */
     KEY_TWICE,
     /** What a writer appended after another of its own stands behind it. */
--- /dev/null
+++ b/storm/src/main/java/tillerlink/storm/client/Channels.java
@@ -0,0 +1,65 @@
+package tillerlink.storm.client;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import tillerlink.storm.audit.LogLine;
+
+/** The logs of channels as a client of one gateway uses them. */
+public final class Channels {
+    private static final String PATH = "/v1/channels/";
+
+    private Channels() {
+    }
+
+    /**
+     * Appends.
+     *
+     * @param kind cue, correction, retraction, air or note
+     * @return the event's id; null if it was refused for now
+     * @throws IOException if nobody knows whether it was taken, or it can't be
+     */
+    public static String append(HttpDoor door, String channel, String key, String kind, String cue, String text,
+                                long airsMs) throws IOException {
+        StringBuilder body = new StringBuilder("{\"kind\":\"" + kind + "\",\"cue\":\"" + cue + "\",\"text\":\"")
+                .append(text).append('"');
+        if (airsMs > 0) {
+            body.append(",\"airs_ms\":").append(airsMs);
+        }
+        HttpDoor.Reply reply = door.post(PATH + channel, Map.of("X-Operation-Key", key), body.append('}').toString());
+        if (reply.status() == 503) {
+            return null;
+        }
+        if (reply.status() != 200 || !(reply.object().get("id") instanceof String id)) {
+            throw new IOException("append to " + channel + ": " + reply.status() + " " + reply.body());
+        }
+        return id;
+    }
+
+    /** The log from a place on, to its end. */
+    public static List<LogLine> log(HttpDoor door, String channel, long from) throws IOException {
+        List<LogLine> lines = new ArrayList<>();
+        for (boolean more = true; more;) {
+            HttpDoor.Reply reply = door.get(PATH + channel + "/log/" + (from + lines.size()));
+            if (reply.status() != 200 || !(reply.object().get("entries") instanceof List<?> entries)) {
+                throw new IOException("log of " + channel + ": " + reply.status() + " " + reply.body());
+            }
+            for (Object one : entries) {
+                if (one instanceof Map<?, ?> entry) {
+                    lines.add(line(from + lines.size(), entry));
+                }
+            }
+            more = !entries.isEmpty();
+        }
+        return lines;
+    }
+
+    private static LogLine line(long place, Map<?, ?> entry) {
+        Map<Object, Object> content = new LinkedHashMap<>(entry);
+        content.keySet().removeAll(List.of("place", "index", "stable", "late"));
+        return new LogLine(place, String.valueOf(entry.get("id")), Boolean.TRUE.equals(entry.get("stable")),
+                content.toString());
+    }
+}
--- a/storm/src/main/java/tillerlink/storm/play/Play.java
+++ b/storm/src/main/java/tillerlink/storm/play/Play.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import tillerlink.storm.audit.Audit;
@@ -10,6 +11,7 @@
 import tillerlink.storm.audit.Rule;
 import tillerlink.storm.client.Members;
 import tillerlink.storm.process.Plan;
+import tillerlink.storm.rig.Lives;
 import tillerlink.storm.rig.Rig;
 
 /** Plays one schedule over processes, with load, and audits it. */
@@ -37,17 +39,42 @@
         Disturbed disturbed = new Disturbed();
         Rig.Shape shape = new Rig.Shape(schedule.gateways(), schedule.sites(), ENGINES, 2,
                 shared);
-        try (Rig rig = new Rig(folder, schedule.seed(), shape, classPath, (engine, command) ->
-                audit.ran(engine, new String(command.statement(), StandardCharsets.UTF_8)))) {
+        try (Rig rig = new Rig(folder, schedule.seed(), shape, classPath, (engine, command) -> {
+            audit.ran(engine, new String(command.statement(), StandardCharsets.UTF_8));
+            StatementLoad.sent(audit, engine, command);
+        })) {
             rig.start();
-            List<Load> loads = List.of(new SubmissionLoad(rig, audit, disturbed, schedule.seed()));
-            Doing doing = new Doing(rig, disturbed, gateway -> { });
+            Lives lives = new Lives();
+            ChannelLoad channels = new ChannelLoad(rig, audit, disturbed, lives, schedule.seed());
+            List<Load> loads = new ArrayList<>(List.of(new SubmissionLoad(rig, audit, disturbed, schedule.seed())));
+            if (shared.compareTo(Plan.Shared.CHANNELS) >= 0) {
+                loads.add(channels);
+            }
+            StatementLoad statements = new StatementLoad(rig, audit, disturbed, schedule.seed());
+            if (shared.compareTo(Plan.Shared.STATEMENTS) >= 0) {
+                loads.add(statements);
+            }
+            Doing doing = new Doing(rig, disturbed, gateway -> {
+                lives.diskLost(gateway);
+                audit.diskLost(gateway);
+            });
             together(rig, audit, "before the play");
             loads.forEach(Load::begin);
-            doing.play(schedule);
+            try {
+                doing.play(schedule);
+            } catch (IOException e) {
+                audit.broken(Rule.INSIDE, e.getMessage());
+            }
             rig.heal();
+            statements.ending();
             loads.forEach(Load::end);
             together(rig, audit, "after the play");
+            if (shared.compareTo(Plan.Shared.CHANNELS) >= 0) {
+                channels.settle();
+            }
+            if (shared.compareTo(Plan.Shared.STATEMENTS) >= 0) {
+                statements.settle();
+            }
             rig.violations().forEach(words -> audit.broken(Rule.INSIDE, words));
             List<Breach> breaches = audit.end();
             return new Played(schedule, breaches, doing.counts(), audit.submissions(), audit.appends(), audit.runs(),
--- a/storm/src/main/java/tillerlink/storm/process/Plan.java
+++ b/storm/src/main/java/tillerlink/storm/process/Plan.java
@@ -14,14 +14,14 @@
  * @param http    the port at which it listens for clients
  * @param members the port at which it listens for other gateways
  * @param reach   at which port of loopback it reaches each other gateway
- * @param sites   all sites that the operator counts in
+ * @param counted the gateways, one of each site, that agree on what is stable in channels' logs
  * @param voters  the gateways whose majority grants leases
  * @param names   the port of the name service
  * @param engines the ports at which it reaches engines e1, e2, ...
  * @param shared  which parts are on
  */
 public record Plan(Path folder, String name, String site, int http, int members, Map<String, Integer> reach,
-                   List<String> sites, List<String> voters, int names, List<Integer> engines, Shared shared) {
+                   List<String> counted, List<String> voters, int names, List<Integer> engines, Shared shared) {
     /** The parts that gateways share, each with those before it. */
     public enum Shared { NOTHING, MEMBERS, CHANNELS, STATEMENTS }
 
--- a/storm/src/main/java/tillerlink/storm/rig/Rig.java
+++ b/storm/src/main/java/tillerlink/storm/rig/Rig.java
@@ -70,8 +70,10 @@
             int service = namesFor(name);
             List<Integer> ports = engineDoors.get(name).stream().map(Door::port).toList();
             Plan plan = new Plan(Files.createDirectories(folder.resolve(name)), name,
-                    sites.get(all.indexOf(name) % sites.size()), Ports.free(), members, reach, sites,
-                    all.subList(0, voters), service, ports,
+                    sites.get(all.indexOf(name) % sites.size()), Ports.free(), members, reach,
+                    all.subList(0, sites.size()),
+                    all.subList(0, voters),
+                    service, ports,
                     shape.shared());
             gateways.put(name, new GatewayProcess(plan, classPath));
             clientDoors.put(name, new Door(plan.http(), fabric.tally()));
