--- a/storm/src/main/java/tillerlink/storm/rig/Rig.java
+++ b/storm/src/main/java/tillerlink/storm/rig/Rig.java
@@ -56,10 +56,8 @@
         for (int i = 0; i < shape.gateways(); i++) {
             all.add("n" + i);
         }
-        List<String> sites = new ArrayList<>();
-        for (int i = 0; i < shape.sites(); i++) {
-            sites.add("s" + i);
-        }
+        // Each site bears the name of its first gateway, which speaks for it where sites agree.
+        List<String> sites = all.subList(0, shape.sites());
         // An odd number, so that one more than half is the fewest.
         int voters = Math.min(VOTERS_MOST, shape.gateways() - 1 + shape.gateways() % 2);
         for (String name : all) {
@@ -70,11 +68,8 @@
             int service = namesFor(name);
             List<Integer> ports = engineDoors.get(name).stream().map(Door::port).toList();
             Plan plan = new Plan(Files.createDirectories(folder.resolve(name)), name,
-                    sites.get(all.indexOf(name) % sites.size()), Ports.free(), members, reach,
-                    all.subList(0, sites.size()),
-                    all.subList(0, voters),
-                    service, ports,
-                    shape.shared());
+                    sites.get(all.indexOf(name) % sites.size()), Ports.free(), members, reach, sites,
+                    all.subList(0, voters), service, ports, shape.shared());
             gateways.put(name, new GatewayProcess(plan, classPath));
             clientDoors.put(name, new Door(plan.http(), fabric.tally()));
         }
