--- a/members/src/test/java/tillerlink/members/PlantedFaultsTest.java
+++ b/members/src/test/java/tillerlink/members/PlantedFaultsTest.java
@@ -147,7 +147,7 @@
             BELIEVES_LOWER: invariant broken: one falls from
             COMES_BACK_AS_IT_WENT: invariant broken: one came back without a higher incarnation:
             GIVEN_UP_ON_HEARSAY: a living one is accused after a partition healed
-            FORGETS_AT_ONCE: they do not agree once it is calm
+            FORGETS_AT_ONCE: a dead one comes back
             never refutes: they do not agree once it is calm
             never yields its name: two take part under one name
             own incarnation falls: invariant broken: the own incarnation falls to
