--- /dev/null
+++ b/statements/src/main/java/tillerlink/statements/lease/Holding.java
@@ -0,0 +1,250 @@
+package tillerlink.statements.lease;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import tillerlink.messages.statements.StatementMessage.AskLease;
+import tillerlink.messages.statements.StatementMessage.Lease;
+import tillerlink.messages.statements.StatementMessage.Release;
+import tillerlink.peers.Invariant;
+import tillerlink.statements.catalog.Catalog;
+import tillerlink.statements.consensus.Outbox;
+import tillerlink.statements.consensus.Terms;
+import tillerlink.statements.consensus.Voters;
+import tillerlink.statements.plant.Plant;
+
+/**
+ * A gateway's side of leases. One is held while a majority of the voters granted it, each from the moment before it was
+ * asked, by the own clock alone.
+ */
+public final class Holding {
+    private static final int ASKS_MOST = 16;
+    /** Leases are asked for so long after a group was last wanted. */
+    private static final long WANTED = 6_000_000;
+    private static final long SOON = 500;
+
+    private record Ask(long sentAt, TreeMap<Integer, Long> groups) {
+    }
+
+    private record Granted(long disk, long from) {
+    }
+
+    /** What is known of one group. */
+    private static final class Group {
+        final Granted[] grants;
+        long version;
+        long wantedAt;
+        int running;
+
+        Group(int voters) {
+            grants = new Granted[voters];
+        }
+    }
+
+    private final LeaseTerms lease;
+    private final Terms terms;
+    private final Voters voters;
+    private final Outbox out;
+    private final long holder;
+    private final TreeMap<Integer, Group> groups = new TreeMap<>();
+    private final LinkedHashMap<Long, Ask> asks = new LinkedHashMap<>();
+    private List<Long> members = List.of();
+    private long membersVersion = -1;
+    private long sequence;
+    private long askAt;
+    private long heardAt = Long.MIN_VALUE / 2;
+
+    public Holding(LeaseTerms lease, Terms terms, Voters voters, Outbox out, RandomGenerator random) {
+        this.lease = lease;
+        this.terms = terms;
+        this.voters = voters;
+        this.out = out;
+        holder = random.nextLong() | 1;
+    }
+
+    /** The number of this process among those that hold leases. */
+    public long holder() {
+        return holder;
+    }
+
+    /** When a majority of voters last answered, roughly: when the last one did. */
+    public long heardAt() {
+        return heardAt;
+    }
+
+    // ---- what is held ----
+
+    /** A run of that group is at hand or likely. */
+    public void want(long now, int group, Catalog catalog) {
+        Group it = groups.get(group);
+        if (it == null) {
+            if (groups.size() >= Catalog.GROUPS_MOST) {
+                return;
+            }
+            it = new Group(voters.count());
+            it.version = catalog.version(group);
+            groups.put(group, it);
+            askAt = Math.min(askAt, now);
+        }
+        it.wantedAt = now;
+    }
+
+    /** Until when a lease on the group at that version is held; in the past if there is none. */
+    public long heldUntil(int group, long version) {
+        Group it = groups.get(group);
+        if (it == null || it.version != version || members.isEmpty()) {
+            return Long.MIN_VALUE;
+        }
+        long[] from = new long[voters.count()];
+        Arrays.fill(from, Long.MIN_VALUE / 2);
+        int grants = 0;
+        for (int i = 0; i < from.length; i++) {
+            Granted granted = it.grants[i];
+            if (granted != null && granted.disk == members.get(i)) {
+                from[i] = granted.from;
+                grants++;
+            }
+        }
+        int needed = voters.quorum() - (terms.has(Plant.LEASE_OF_A_MINORITY) ? 1 : 0);
+        if (grants < needed) {
+            return Long.MIN_VALUE;
+        }
+        Arrays.sort(from);
+        long until = from[from.length - needed] + lease.held();
+        Invariant.holds(majority(it, until), () -> "a lease on group " + group + " without a majority");
+        return until;
+    }
+
+    /** Counted another way than above: a majority of members granted until that moment. */
+    private boolean majority(Group it, long until) {
+        int count = 0;
+        for (int i = 0; i < it.grants.length; i++) {
+            Granted granted = it.grants[i];
+            count += granted != null && granted.disk == members.get(i) && granted.from + lease.held() >= until ? 1 : 0;
+        }
+        return count * 2 > voters.count();
+    }
+
+    /** A hop that runs under a lease on the group was written, or ended: leases are given back when none is out. */
+    public void running(int group, int by) {
+        Group it = groups.get(group);
+        if (it != null) {
+            it.running = Math.max(0, it.running + by);
+        }
+    }
+
+    // ---- asking and giving back ----
+
+    public void turn(long now, Catalog catalog) {
+        giveBack(now, catalog);
+        if (now < askAt || groups.isEmpty()) {
+            return;
+        }
+        askAt = now + lease.length() / 4;
+        TreeMap<Integer, Long> some = new TreeMap<>();
+        for (Iterator<Map.Entry<Integer, Group>> each = groups.entrySet().iterator(); each.hasNext();) {
+            Map.Entry<Integer, Group> one = each.next();
+            if (now - one.getValue().wantedAt > WANTED && one.getValue().running == 0) {
+                each.remove();
+            } else if (!catalog.blocked(one.getKey())) {
+                some.put(one.getKey(), one.getValue().version);
+            }
+        }
+        if (some.isEmpty()) {
+            return;
+        }
+        asks.put(++sequence, new Ask(now, some));
+        if (asks.size() > ASKS_MOST) {
+            asks.remove(asks.keySet().iterator().next());
+        }
+        for (String voter : voters.names()) {
+            out.send(voter, new AskLease(holder, sequence, some));
+        }
+    }
+
+    /** What a change asks for is given back as soon as no hop that runs under it is out. */
+    private void giveBack(long now, Catalog catalog) {
+        List<Integer> some = new ArrayList<>();
+        groups.forEach((group, it) -> {
+            boolean holds = Arrays.stream(it.grants).anyMatch(granted -> granted != null);
+            if (it.version != catalog.version(group)) {
+                it.version = catalog.version(group);
+                Arrays.fill(it.grants, null);
+                askAt = Math.min(askAt, now);
+            } else if (holds && it.running == 0 && catalog.blocked(group)) {
+                Arrays.fill(it.grants, null);
+                some.add(group);
+            }
+        });
+        if (!some.isEmpty()) {
+            release(some);
+        }
+    }
+
+    private void release(List<Integer> some) {
+        asks.clear();
+        for (String voter : voters.names()) {
+            out.send(voter, new Release(holder, sequence, some));
+        }
+    }
+
+    /** Asked soon, since a run was turned back for want of a lease. */
+    public void askSoon(long now) {
+        askAt = Math.min(askAt, now + SOON);
+    }
+
+    public long dueAt() {
+        return groups.isEmpty() ? Long.MAX_VALUE : askAt;
+    }
+
+    public void granted(long now, String from, Lease answer) {
+        int place = voters.names().indexOf(from);
+        Ask ask = asks.get(answer.sequence());
+        if (answer.holder() != holder || ask == null || place < 0 || answer.members().size() != voters.count()) {
+            return;
+        }
+        heardAt = now;
+        if (answer.version() > membersVersion) {
+            membersVersion = answer.version();
+            members = answer.members();
+        }
+        answer.granted().forEach((group, version) -> {
+            Group it = groups.get(group);
+            if (it != null && it.version == version && ask.groups.getOrDefault(group, -1L) == (long) version) {
+                long since = terms.has(Plant.COUNTS_FROM_ANSWER) ? now : ask.sentAt;
+                Granted old = it.grants[place];
+                if (old == null || old.disk != answer.disk() || old.from < since) {
+                    it.grants[place] = new Granted(answer.disk(), since);
+                }
+            }
+        });
+    }
+
+    // ---- what ends them ----
+
+    /** This process did nothing for a while: all leases are dropped, and given back. */
+    public void away(long now) {
+        if (terms.has(Plant.TRUSTS_AFTER_PAUSE)) {
+            return;
+        }
+        groups.values().forEach(it -> Arrays.fill(it.grants, null));
+        if (!groups.isEmpty()) {
+            release(List.copyOf(groups.keySet()));
+        }
+        askAt = now;
+    }
+
+    /** A change took effect: by now no lease under the schemas before it may be alive here. */
+    public void tookEffect(long now, List<Integer> changed) {
+        for (int group : changed) {
+            Group it = groups.get(group);
+            Invariant.holds(it == null || heldUntil(group, it.version) <= now,
+                    () -> "a change of group " + group + " took effect while a lease is held here");
+        }
+    }
+}
--- /dev/null
+++ b/statements/src/test/java/tillerlink/statements/Audit.java
@@ -0,0 +1,59 @@
+package tillerlink.statements;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import tillerlink.statements.run.Prepared;
+
+/** Looks at a fleet from outside: which runs were written when, and when a change could first be seen in effect. */
+final class Audit {
+    final List<String> violations = new ArrayList<>();
+    private final Map<Integer, Long> newest = new TreeMap<>();
+    private final Map<String, String> texts = new HashMap<>();
+    private final Map<String, Long> generations = new HashMap<>();
+    long runs;
+    long effects;
+    long turnedBack;
+    long calledOff;
+
+    /** What a gateway's state says, after each step that it took. */
+    void sees(String process, Statements part) {
+        part.catalog().versions().forEach((group, version) -> {
+            long last = newest.getOrDefault(group, 1L);
+            if (version > last) {
+                newest.put(group, version);
+                effects += version - last;
+            }
+        });
+        part.catalog().statements().forEach((name, standing) -> {
+            String key = process + " " + name;
+            long last = generations.getOrDefault(key, 0L);
+            if (standing.generation() < last) {
+                violations.add(key + ": generation falls from " + last + " to " + standing.generation());
+            }
+            generations.put(key, standing.generation());
+            said(name, standing.generation(), standing.definition().text());
+        });
+    }
+
+    private void said(String name, long generation, String text) {
+        String old = texts.putIfAbsent(name + " " + generation, text);
+        if (old != null && !old.equals(text)) {
+            violations.add(name + " has two texts in generation " + generation);
+        }
+    }
+
+    /** A hop was written. */
+    void ran(long now, String gateway, Prepared prepared) {
+        runs++;
+        said(prepared.definition().name(), prepared.generation(), prepared.definition().text());
+        prepared.versions().forEach((group, version) -> {
+            if (version < newest.getOrDefault(group, 1L)) {
+                violations.add(now / 10 + " ms: " + gateway + " runs " + prepared.definition().name() + " under version "
+                        + version + " of group " + group + ", in effect is " + newest.get(group));
+            }
+        });
+    }
+}
