--- a/statements/src/main/java/tillerlink/statements/catalog/Catalog.java
+++ b/statements/src/main/java/tillerlink/statements/catalog/Catalog.java
@@ -15,8 +15,8 @@
 import tillerlink.peers.Invariant;
 
 /**
- * What is prepared, and the schema version of each table group: a pure function of the log. A generation is the index of
- * the entry that gave a statement its text; so a name that is dropped needs no tombstone, and no old text comes back.
+ * What is prepared, and the schema version of each table group: a pure function of the log. A generation is the index
+ * of the entry that gave a statement its text; so a name that is dropped needs no tombstone, and no old text comes back.
  */
 public final class Catalog {
     /** Statements at the most. */
@@ -244,9 +244,11 @@
         String name = standing.definition().name();
         Standing old = statements.put(name, standing);
         bytes += size(standing) - size(old);
-        Invariant.holds(old == null || old.generation() <= standing.generation(), () -> "generation of " + name + " falls");
+        Invariant.holds(old == null || old.generation() <= standing.generation(),
+                () -> "generation of " + name + " falls");
         Invariant.holds(standing.state() != State.READY || standing.versions().entrySet().stream()
-                .allMatch(entry -> version(entry.getKey()) == entry.getValue()), () -> name + " is ready under an old schema");
+                .allMatch(entry -> version(entry.getKey()) == entry.getValue()),
+                () -> name + " is ready under an old schema");
         Invariant.holds(statements.size() <= STATEMENTS_MOST && bytes <= BYTES_MOST, () -> "catalog beyond its bounds");
     }
 
--- a/statements/src/main/java/tillerlink/statements/catalog/Outcome.java
+++ b/statements/src/main/java/tillerlink/statements/catalog/Outcome.java
@@ -10,7 +10,7 @@
     /** The order is that of snapshots: new ones come last. */
     public enum Verdict {
         DONE, REFUSED,
-        /** It was not heard of in time: it may be done, be done later or never. Asking for the same once more is safe. */
+        /** It was not heard of in time: it may be done, be done later or never. Asking once more is safe. */
         UNKNOWN
     }
 
--- a/statements/src/main/java/tillerlink/statements/catalog/Snapshots.java
+++ b/statements/src/main/java/tillerlink/statements/catalog/Snapshots.java
@@ -129,6 +129,7 @@
                 default -> { }
             }
         }
-        to.answered.put(origin, new Catalog.Answered(number, new Outcome(Outcome.Verdict.values()[verdict], id, words)));
+        Outcome outcome = new Outcome(Outcome.Verdict.values()[verdict], id, words);
+        to.answered.put(origin, new Catalog.Answered(number, outcome));
     }
 }
--- a/statements/src/main/java/tillerlink/statements/consensus/Consensus.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Consensus.java
@@ -390,7 +390,8 @@
         long sequence = leading.nextSequence();
         progress.sent(now, sequence);
         if (progress.next <= log.base()) {
-            out.send(to, new Offer(identity.stamp(), ballot.term(), log.snapshot().index(), log.snapshotBytes().length));
+            out.send(to, new Offer(identity.stamp(), ballot.term(), log.snapshot().index(),
+                    log.snapshotBytes().length));
             return;
         }
         long before = progress.next - 1;
--- a/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
@@ -1,5 +1,6 @@
 package tillerlink.statements.consensus;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -10,8 +11,8 @@
 
 /**
  * What a voter does before it takes part. From an empty disk: either all voters' disks are empty, then they found the
- * fleet's log together; or its disk was lost, then the log itself has to admit the new one. From any other disk: it asks
- * the others how far they and it were, as its disk may be an old copy.
+ * fleet's log together; or its disk was lost, then the log itself has to admit the new one. From any other disk: it
+ * asks the others how far they and it were, as its disk may be an old copy.
  */
 final class Homecoming {
     /** What a voter may rely on once it is back. */
@@ -197,8 +198,18 @@
         }
     }
 
-    /** It goes on saying so until the log has it. */
+    /**
+     * It goes on saying so until the log has it. Who votes it takes from the others, but not that it does so itself: that
+     * the log has to say.
+     */
     private void lost() {
+        for (Seen seen : answers.values()) {
+            if (seen.stage() == Stage.FOUNDED && seen.members().size() == voters.count()) {
+                List<Long> members = new ArrayList<>(seen.members());
+                members.set(self, 0L);
+                host.founded(members);
+            }
+        }
         answers.clear();
     }
 
--- a/statements/src/main/java/tillerlink/statements/consensus/Membership.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Membership.java
@@ -46,6 +46,9 @@
     }
 
     private void readmit(Entry entry, Command.Readmit it) {
+        if (members.isEmpty()) {
+            return;
+        }
         List<Long> next = new ArrayList<>(members);
         next.set(voters.place(it.voter()), it.disk());
         members = next;
@@ -64,7 +67,7 @@
         Snapshot snapshot = log.snapshot();
         List<Long> then = new ArrayList<>(snapshot.members().isEmpty() ? founded : snapshot.members());
         for (long i = Math.max(log.base(), snapshot.index()) + 1; i <= applied; i++) {
-            if (log.get(i).command() instanceof Command.Readmit it && voters.has(it.voter())) {
+            if (log.get(i).command() instanceof Command.Readmit it && !then.isEmpty() && voters.has(it.voter())) {
                 then.set(voters.place(it.voter()), it.disk());
             }
         }
--- a/statements/src/main/java/tillerlink/statements/lease/Granting.java
+++ b/statements/src/main/java/tillerlink/statements/lease/Granting.java
@@ -118,7 +118,8 @@
                 each.remove();
             }
         }
-        Invariant.holds(count >= 0 && count <= GRANTS_MOST && holders.size() <= HOLDERS_MOST, () -> "grants beyond bounds");
+        Invariant.holds(count >= 0 && count <= GRANTS_MOST && holders.size() <= HOLDERS_MOST,
+                () -> "grants beyond bounds");
     }
 
     /** When the last lease on these groups has run out; 0 if none is alive. */
--- a/statements/src/main/java/tillerlink/statements/lease/Holding.java
+++ b/statements/src/main/java/tillerlink/statements/lease/Holding.java
@@ -27,6 +27,8 @@
     /** Leases are asked for so long after a group was last wanted. */
     private static final long WANTED = 6_000_000;
     private static final long SOON = 500;
+    /** The end of a lease that isn't held; far from where sums would run over. */
+    private static final long NONE = Long.MIN_VALUE / 4;
 
     private record Ask(long sentAt, TreeMap<Integer, Long> groups) {
     }
@@ -98,7 +100,7 @@
     public long heldUntil(int group, long version) {
         Group it = groups.get(group);
         if (it == null || it.version != version || members.isEmpty()) {
-            return Long.MIN_VALUE;
+            return NONE;
         }
         long[] from = new long[voters.count()];
         Arrays.fill(from, Long.MIN_VALUE / 2);
@@ -112,7 +114,7 @@
         }
         int needed = voters.quorum() - (terms.has(Plant.LEASE_OF_A_MINORITY) ? 1 : 0);
         if (grants < needed) {
-            return Long.MIN_VALUE;
+            return NONE;
         }
         Arrays.sort(from);
         long until = from[from.length - needed] + lease.held();
--- a/statements/src/main/java/tillerlink/statements/prepare/Literal.java
+++ b/statements/src/main/java/tillerlink/statements/prepare/Literal.java
@@ -28,7 +28,7 @@
     }
 
     /**
-     * Quotes are doubled. A backslash is refused where it would stand alone for some engines and be an escape for others;
+     * Quotes are doubled. A backslash is refused, as it stands for itself with some engines and is an escape for others;
      * so are characters that can't be seen.
      */
     private static String text(int number, String value) {
