--- a/gateway/src/main/java/tillerlink/net/state/Break.java
+++ b/gateway/src/main/java/tillerlink/net/state/Break.java
@@ -29,8 +29,8 @@
      */
     public Outcome outcome(boolean whole) {
         return switch (this) {
-            case REFUSED, NEVER_UP -> Outcome.UNREACHABLE;
-            case SILENT -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
+            // It may have run before, on a connection that broke while its result came.
+            case REFUSED, NEVER_UP, SILENT -> whole ? Outcome.SEVERED : Outcome.UNREACHABLE;
             // A connection that came up and broke says that somebody is there; only what it bore may be in doubt.
             case RESET, CLOSED_BY_PEER -> whole ? Outcome.SEVERED : Outcome.NEVER_SENT;
             case GARBLED, MUTE, HELD_BACK -> whole ? Outcome.SPOILT : Outcome.NEVER_SENT;
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -62,6 +62,12 @@
         s.say("it breaks off on the way").fresh().post("c1", ID, "look").get("c1", ID).connected(0).engine(0, ID + " ok cou")
                 .ends(0, Break.CLOSED_BY_PEER);
         s.say("the connection alone is dead").fresh().post("c1", ID, "look").get("c1", ID).connected(0).pass(350).connected(1).pass(100);
+        for (String how : List.of("nobody is there any more", "no connection comes up any more")) {
+            s.say("it has run, its connection breaks while its result comes, and " + how).fresh().post("c1", ID, "book").get("c1", ID)
+                    .connected(0).engine(0, ID + " ok count=2" + row).ends(0, Break.RESET);
+            s = how.startsWith("nobody") ? s.ends(1, Break.REFUSED).ends(2, Break.REFUSED).ends(3, Break.REFUSED) : s.pass(900);
+            s.get("c1", ID);
+        }
         s.matches("net-spoilt");
     }
 
