--- a/emulator/src/main/java/tillerlink/emulator/Seat.java
+++ b/emulator/src/main/java/tillerlink/emulator/Seat.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 import tillerlink.model.Engine;
 import tillerlink.net.state.Driver;
 import tillerlink.net.state.Gateway;
 import tillerlink.net.state.Pipe;
+import tillerlink.net.state.Side;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.port.SteeringFactory;
 import tillerlink.standin.NameAnswer;
@@ -56,6 +58,11 @@
         post(() -> { });
     }
 
+    /** Puts something beside the module, until it is killed. */
+    public void beside(Function<Side.Door, Side> made) {
+        gateway.beside(made.apply(gateway.door()));
+    }
+
     /** Killed outright: what it would still have done does not happen. */
     void kill() {
         life++;
--- a/gateway/src/main/java/tillerlink/net/state/Side.java
+++ b/gateway/src/main/java/tillerlink/net/state/Side.java
@@ -40,7 +40,10 @@
         void answer(HttpAnswer answer);
     }
 
-    /** Whether hops of a submission may still go out. */
+    /**
+     * Whether hops of a submission may still go out. Once that was not so, be it for a moment in which nobody asked, it
+     * is never so again: else what was written in that moment would pass for sound.
+     */
     interface Guard {
         /**
          * Asked right before a hop is written and again once all of it was; and before its result is handed out if that
