--- /dev/null
+++ b/bench/src/main/java/tillerlink/jmh/Envelopes.java
@@ -0,0 +1,62 @@
+package tillerlink.jmh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import tillerlink.messages.envelope.EnvelopeCodec;
+import tillerlink.messages.envelope.Inbox;
+import tillerlink.messages.envelope.Outbox;
+import tillerlink.messages.envelope.Seal;
+
+/** What a message between gateways costs on its way: written, or written and read, with a seal and without. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+public class Envelopes {
+    @Param({"100", "1100", "12000"})
+    private int bytes;
+    @Param({"false", "true"})
+    private boolean sealed;
+    private Outbox outbox;
+    private Inbox inbox;
+    private byte[] body;
+
+    @Setup
+    public void make() {
+        body = new byte[bytes];
+        outbox = new Outbox(codec(), "north-1", 7);
+        inbox = new Inbox(codec(), "south-1", 8, bytes, line -> { });
+    }
+
+    private EnvelopeCodec codec() {
+        return new EnvelopeCodec("newsroom", sealed ? Seal.of("a secret of a fleet".getBytes(StandardCharsets.UTF_8)) : null);
+    }
+
+    @Benchmark
+    public List<byte[]> written() {
+        return outbox.datagrams(1, body);
+    }
+
+    @Benchmark
+    public Inbox.Message writtenAndRead() {
+        Inbox.Message message = null;
+        for (byte[] datagram : outbox.datagrams(1, body)) {
+            message = inbox.take(0, "", datagram);
+        }
+        return message;
+    }
+}
