Play seeded histories of channels in virtual time under an audit from outside

The first ones found a turn that was due in the past and two gateways that asked each other for the same refused events without a rest; both are mended.

--- a/channels/src/main/java/tillerlink/channels/Channels.java
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -321,8 +321,9 @@
         if (message instanceof Report it) {
             reported(from, it);
         } else if (message instanceof Piece it) {
+            long before = journal.held().size();
             it.entries().forEach(entry -> take(from, entry));
-            fetcher.got(now, from, it);
+            fetcher.got(now, from, it, (int) (journal.held().size() - before));
         } else if (message instanceof Want it) {
             server.want(from, it);
         } else if (message instanceof Cuts it) {
@@ -372,7 +373,7 @@
         report.extra().forEach(theirs::add);
         if (report.applied() >= journal.base()) {
             journal.placed().spans(before.incarnation()).forEach(theirs::add);
-            for (Cut cut : journal.cuts().tailMap(report.applied(), false).headMap(journal.applied(), true).values()) {
+            for (Cut cut : journal.cuts().tailMap(Math.min(report.applied(), journal.applied()), false).values()) {
                 List<Span> back = new ArrayList<>(cut.spans());
                 back.removeIf(span -> span.incarnation() != before.incarnation());
                 back.forEach(theirs::remove);
--- a/channels/src/main/java/tillerlink/channels/agree/Agreement.java
+++ b/channels/src/main/java/tillerlink/channels/agree/Agreement.java
@@ -234,12 +234,9 @@
 
     private void begin(long now) {
         boolean leads = proposer.leads(journal.voters());
-        if (proposer.rests(now) || leads && now - steppedAt < STEP_LEAST) {
-            dueAt = Math.min(dueAt, leads ? steppedAt + STEP_LEAST : proposer.dueAt());
-            return;
-        }
-        if (now - plannedAt < PLAN_LEAST) {
-            dueAt = Math.min(dueAt, plannedAt + PLAN_LEAST);
+        long notBefore = Math.max(Math.max(proposer.restUntil(), plannedAt + PLAN_LEAST), leads ? steppedAt + STEP_LEAST : 0);
+        if (now < notBefore) {
+            dueAt = Math.min(dueAt, notBefore);
             return;
         }
         plannedAt = now;
--- a/channels/src/main/java/tillerlink/channels/epoch/Proposer.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Proposer.java
@@ -62,8 +62,9 @@
         return cut;
     }
 
-    public boolean rests(long now) {
-        return now < restUntil;
+    /** It tries nothing before. */
+    public long restUntil() {
+        return restUntil;
     }
 
     /** Whether a majority of these voters has promised this gateway's ballot, and it was not outbid. */
@@ -142,7 +143,7 @@
     }
 
     public long dueAt() {
-        return stage == Stage.IDLE ? restUntil : sentAt + AGAIN;
+        return stage == Stage.IDLE ? Long.MAX_VALUE : sentAt + AGAIN;
     }
 
     public boolean hasAnswered(String voter) {
--- a/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
+++ b/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
@@ -23,6 +23,7 @@
  */
 public final class Fetcher {
     private static final long PATIENCE = 6000;
+    private static final long REST = 10_000;
     private static final long STEPS_AGAIN = 2000;
     private static final long HEARD_FOR = 60_000;
     private static final int SPANS_MOST = 40;
@@ -42,6 +43,8 @@
         int window = 64;
         long stepsAskedAt = Long.MIN_VALUE / 2;
         boolean heardSince;
+        int taken;
+        long restUntil = Long.MIN_VALUE;
     }
 
     private final Journal journal;
@@ -80,15 +83,22 @@
         return source == null ? Long.MIN_VALUE / 2 : source.reportAt;
     }
 
-    /** A piece came whose events were put. */
-    public void got(long now, String from, Piece piece) {
+    /**
+     * A piece came. Who had nothing of use, since what it holds is refused here for now or is gone there, is not asked
+     * again at once.
+     *
+     * @param taken how many of its events were taken
+     */
+    public void got(long now, String from, Piece piece, int taken) {
         Source source = sources.get(from);
         if (source == null || piece.number() == 0 || piece.number() != source.number) {
             return;
         }
         source.askedAt = now;
         source.heardSince = true;
+        source.taken += taken;
         if (piece.last()) {
+            source.restUntil = source.taken == 0 ? now + REST : now;
             source.number = 0;
             source.asked = List.of();
             source.window = Math.min(WINDOW_MOST, source.window * 2);
@@ -122,13 +132,14 @@
             source.stepsAskedAt = now;
             wire.send(of, new CutsWanted(journal.decided() + 1));
         }
-        if (source.number == 0) {
+        if (source.number == 0 && now >= source.restUntil) {
             List<Span> wanted = wanted(source);
             if (!wanted.isEmpty()) {
                 source.number = ++numbers;
                 source.askedAt = now;
                 source.asked = wanted;
                 source.heardSince = false;
+                source.taken = 0;
                 wire.send(of, new Want(source.number, Post.BYTES_EASY, source.window, wanted));
             }
         }
--- /dev/null
+++ b/channels/src/test/java/tillerlink/channels/History.java
@@ -0,0 +1,170 @@
+package tillerlink.channels;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import tillerlink.channels.entry.Draft;
+import tillerlink.messages.channels.Kind;
+import tillerlink.virtual.Fault;
+import tillerlink.virtual.MemoryKeep;
+
+/** One seeded history: three sites with three to six gateways, load and faults, then healing and the audit. */
+final class History {
+    private static final List<String> CHANNELS = List.of("news", "sport");
+
+    final Fleet fleet;
+    final List<String> played = new ArrayList<>();
+    private final Set<String> mayBeLost = new TreeSet<>();
+    private final TreeMap<String, Long> recovering = new TreeMap<>();
+    private final int steps;
+    private int appended;
+
+    History(long seed, int steps) {
+        this(seed, steps, fleetOf(seed));
+    }
+
+    History(long seed, int steps, Fleet fleet) {
+        this.fleet = fleet;
+        this.steps = steps;
+    }
+
+    static Fleet fleetOf(long seed) {
+        List<String> names = List.of("n1", "s1", "w1", "n2", "s2", "w2").subList(0, 3 + Math.floorMod(seed, 4));
+        return new Fleet(seed, names, new Terms(List.of("n1", "s1", "w1"), 50_000, 30_000, 64 << 20, 40));
+    }
+
+    List<String> play() {
+        fleet.startAll();
+        fleet.net.playFor(Fleet.SECOND);
+        for (int i = 0; i < steps; i++) {
+            step();
+            fleet.net.playFor(fleet.random.nextInt(20) == 0 ? 80_000 : 200 + fleet.random.nextInt(15_000));
+            fleet.look(one());
+        }
+        fleet.net.usual(Fault.NONE);
+        fleet.net.heal();
+        for (String name : fleet.names) {
+            fleet.net.setClock(name, 0);
+            fleet.net.resume(name);
+            disk(name).full(false);
+            if (!fleet.running.containsKey(name)) {
+                fleet.start(name);
+            }
+        }
+        fleet.lookAll();
+        fleet.net.playFor(90 * Fleet.SECOND);
+        fleet.append("s1", "news", Fleet.cue("last", "last"));
+        fleet.net.playFor(70 * Fleet.SECOND);
+        fleet.audit(mayBeLost);
+        return fleet.violations;
+    }
+
+    private String one() {
+        return fleet.names.get(fleet.random.nextInt(fleet.names.size()));
+    }
+
+    private MemoryKeep disk(String name) {
+        return fleet.disks.get(name);
+    }
+
+    private void say(String what) {
+        played.add(fleet.net.now() / 10 + " " + what);
+    }
+
+    private void step() {
+        int die = fleet.random.nextInt(40);
+        String name = one();
+        if (die < 18) {
+            for (int i = fleet.random.nextInt(6); i >= 0; i--) {
+                append(one());
+            }
+        } else if (die < 21) {
+            List<String> side = fleet.shuffled().subList(0, 1 + fleet.random.nextInt(fleet.names.size() / 2));
+            say("cut " + side);
+            fleet.cut(side);
+        } else if (die < 23) {
+            say("one-sided " + name);
+            fleet.net.link(name, one(), Fault.CUT);
+        } else if (die < 26) {
+            say("heal");
+            fleet.net.heal();
+            fleet.net.usual(Fault.NONE);
+        } else if (die < 27) {
+            say("bad");
+            fleet.net.usual(Fault.bad(0.2, 0.1, 5000));
+        } else if (die < 30) {
+            if (fleet.running.containsKey(name)) {
+                say("pause " + name);
+                fleet.net.pause(name);
+                fleet.net.at(fleet.net.now() + fleet.random.nextInt(100_000), () -> fleet.net.resume(name));
+            }
+        } else if (die < 31) {
+            long ahead = (fleet.random.nextInt(241) - 120) * Fleet.SECOND;
+            say("clock " + name + " " + ahead / 10);
+            fleet.net.setClock(name, ahead);
+        } else if (die < 32) {
+            say("full " + name);
+            disk(name).full(fleet.random.nextBoolean());
+        } else if (die < 34) {
+            fleet.copies.put(name, disk(name).copy());
+        } else {
+            restart(name, die);
+        }
+    }
+
+    private void append(String name) {
+        int n = ++appended;
+        int what = fleet.random.nextInt(8);
+        String cue = "c" + fleet.random.nextInt(5);
+        String key = fleet.random.nextInt(3) == 0 ? "k" + fleet.random.nextInt(30) : "";
+        Draft draft = what < 3 ? new Draft(Kind.CUE, cue, "t" + n, 0, key, null)
+                : what < 5 ? new Draft(Kind.CORRECTION, cue, "t" + n, 0, key, null)
+                : what < 6 ? new Draft(Kind.RETRACTION, cue, "", 0, key, null)
+                : what < 7 ? new Draft(Kind.AIR, cue, "", fleet.net.wall(name) / 10 + fleet.random.nextInt(20_000), key, null)
+                : new Draft(Kind.NOTE, "", "note " + n, 0, key, null);
+        fleet.append(name, CHANNELS.get(fleet.random.nextInt(2)), draft);
+    }
+
+    /** Of the disks of those counted in, one at a time is lost or old, as is promised to be borne. */
+    private void restart(String name, int die) {
+        recovering.keySet().removeIf(other -> fleet.running.containsKey(other) && fleet.running.get(other).state().votes());
+        if (die < 36) {
+            say("kill " + name);
+            fleet.kill(name);
+            return;
+        }
+        boolean mayLose = recovering.isEmpty() || recovering.containsKey(name);
+        fleet.kill(name);
+        if (die < 38 || !mayLose) {
+            say("restart " + name);
+            fleet.start(name);
+            return;
+        }
+        recovering.put(name, fleet.net.now());
+        note(name);
+        if (die < 39 && fleet.copies.containsKey(name)) {
+            say("old copy " + name);
+            fleet.start(name, MemoryKeep.of(fleet.net, 5, fleet.copies.get(name)));
+        } else {
+            say("lost disk " + name);
+            fleet.start(name, new MemoryKeep(fleet.net, 5));
+        }
+    }
+
+    /** What only the disk that goes now holds can't come back. */
+    private void note(String gone) {
+        Set<String> elsewhere = new TreeSet<>();
+        fleet.running.forEach((name, channels) -> {
+            for (String channel : channels.names()) {
+                channels.read(channel, 0, Fleet.ALL).lines().forEach(line -> elsewhere.add(line.entry().dot().text()));
+            }
+        });
+        for (String id : fleet.answered.keySet()) {
+            if (!elsewhere.contains(id)) {
+                mayBeLost.add(id);
+            }
+        }
+    }
+}
