Let clients append to and read channels over the HTTP door, by the operator's file

The operator's part channels gets voters, one gateway of each site: with several gateways at a site a site alone can't be asked what it agreed to.

--- a/channels/src/main/java/tillerlink/channels/Channels.java
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -127,6 +127,9 @@
         time(now, wall);
         String fault = channel.isEmpty() || channel.length() > NAME_MOST ? "a channel's name has 1 to 64 characters"
                 : draft.fault().orElse(null);
+        if (fault == null && !journal.logs().containsKey(channel) && journal.logs().size() >= terms.most()) {
+            fault = "there are " + terms.most() + " channels already, and no more are allowed";
+        }
         if (fault != null) {
             answer.accept(new Appended.Refused(fault, 0));
             return;
--- a/channels/src/main/java/tillerlink/channels/Terms.java
+++ b/channels/src/main/java/tillerlink/channels/Terms.java
@@ -10,8 +10,11 @@
  * @param aheadMillis milliseconds that a stamp may be ahead of what the fleet believes the time to be
  * @param bytes       room for events, in memory and on disk
  * @param cutsMost    agreed steps after which the oldest go into the sum
+ * @param most        channels at once
  */
-public record Terms(List<String> counted, long absentAfter, long aheadMillis, long bytes, int cutsMost) {
+public record Terms(List<String> counted, long absentAfter, long aheadMillis, long bytes, int cutsMost, int most) {
+    private static final int CUTS_USUAL = 16_384;
+
     public Terms {
         counted = counted.stream().map(Terms::gateway).distinct().sorted().toList();
         if (counted.isEmpty() || counted.size() > 64) {
@@ -20,7 +23,11 @@
     }
 
     public static Terms of(List<String> counted) {
-        return new Terms(counted, 300_000, 60_000, 256L << 20, 16_384);
+        return new Terms(counted, 300_000, 60_000, 256L << 20, CUTS_USUAL, 64);
+    }
+
+    public static Terms of(List<String> counted, long absentAfter, long aheadMillis, long bytes, int most) {
+        return new Terms(counted, absentAfter, aheadMillis, bytes, CUTS_USUAL, most);
     }
 
     /** A counted site may be written as SITE/GATEWAY. */
--- a/channels/src/main/java/tillerlink/channels/agree/Agreement.java
+++ b/channels/src/main/java/tillerlink/channels/agree/Agreement.java
@@ -50,6 +50,7 @@
     private final Proposer proposer;
     private final Planner planner;
     private final List<String> counted;
+    private boolean votes;
     private long askedAt = Long.MIN_VALUE / 2;
     private long steppedAt;
     private long plannedAt = Long.MIN_VALUE / 2;
@@ -131,7 +132,7 @@
             server.cuts(from, prepare.slot());
         } else if (journal.decided() < prepare.slot() - 1) {
             wire.send(from, new CutsWanted(journal.decided() + 1));
-        } else if (witnesses.isDone()) {
+        } else if (votes) {
             voting.promise(prepare.ballot());
             store.voting(voting.bytes(), () -> wire.send(from, promise(prepare.ballot(), prepare.slot())));
         }
@@ -160,7 +161,7 @@
             server.cuts(from, cut.slot());
         } else if (journal.decided() < cut.slot() - 1) {
             wire.send(from, new CutsWanted(journal.decided() + 1));
-        } else if (witnesses.isDone() && mayAccept(cut)) {
+        } else if (votes && mayAccept(cut)) {
             voting.accept(accept.ballot(), cut);
             store.voting(voting.bytes(), () -> wire.send(from, accepted(accept.ballot(), cut.slot())));
         }
@@ -179,7 +180,7 @@
     /** @param own up to which stamp this gateway appends nothing any more is in the standings already */
     public void turn(long now) {
         dueAt = now + 5000;
-        if (!witnesses.isDone()) {
+        if (!votes) {
             ask(now);
         }
         if (journal.decided() != lastDecided) {
@@ -189,7 +190,7 @@
                 proposer.done();
             }
         }
-        if (witnesses.isDone() && journal.voters().contains(self) && journal.applied() == journal.decided()) {
+        if (votes && journal.voters().contains(self) && journal.applied() == journal.decided()) {
             propose(now);
         }
     }
@@ -199,9 +200,15 @@
         if (witnesses.enough(voters, journal.decided())) {
             witnesses.answers().forEach(it -> voting.recall(it.promised(), it.acceptedIn(), it.accepted()));
             voting.knowsNow();
-            store.voting(voting.bytes(), null);
-        } else if (now - askedAt > ASK_AGAIN) {
-            askedAt = now;
+            askedAt = now - ASK_AGAIN - 1;
+        }
+        if (now - askedAt <= ASK_AGAIN) {
+            return;
+        }
+        askedAt = now;
+        if (witnesses.isDone()) {
+            store.voting(voting.bytes(), () -> votes = true);
+        } else {
             witnesses.others(voters).forEach(other -> wire.send(other, new Ask(incarnation)));
         }
     }
@@ -328,7 +335,7 @@
 
     /** Whether it votes: the others have told what it may have agreed to before it started. */
     public boolean votes() {
-        return witnesses.isDone();
+        return votes;
     }
 
     public boolean leads() {
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -40,6 +40,7 @@
 # Logs of channels that all gateways hold alike. Needs members and store. Without this part there are none.
 channels {
   sites          = ["north", "south", "studio"] # all that are counted in; an entry is stable once each was heard beyond it
+  voters         = ["north-1", "south-1", "studio-1"] # one gateway of each site; left out: those called SITE-1
   absent_after_s = 300       # a site not heard of for so long is gone on without
   ahead_ms       = 60000     # how far a stamp may run ahead of this gateway's clock
   memory_mb      = 64        # of all channels together
--- a/tools/src/main/java/tillerlink/cli/Beside.java
+++ b/tools/src/main/java/tillerlink/cli/Beside.java
@@ -4,15 +4,20 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import tillerlink.channels.Terms;
 import tillerlink.net.state.Side;
+import tillerlink.operator.Channels;
 import tillerlink.operator.Members;
 import tillerlink.operator.OperatorFile;
 import tillerlink.peering.Peering;
 import tillerlink.peering.Sharing;
+import tillerlink.peering.channels.ChannelsPart;
 import tillerlink.peering.part.Attaching;
 
 /** What stands beside the module of a gateway, as the operator's file names it. */
 final class Beside {
+    private static final long TENTHS_PER_MS = 10;
+
     private Beside() {
     }
 
@@ -32,6 +37,13 @@
 
     /** The parts that gateways share, beside who is there. */
     private static List<Attaching> parts(OperatorFile file) {
-        return new ArrayList<>();
+        List<Attaching> parts = new ArrayList<>();
+        Channels channels = file.channels();
+        if (channels != null) {
+            parts.add(new ChannelsPart(Terms.of(channels.voters(), channels.absentAfter(),
+                    channels.aheadMost() / TENTHS_PER_MS, Math.min(channels.memoryMost(), channels.diskMost()),
+                    channels.most())));
+        }
+        return parts;
     }
 }
