--- a/peering/src/test/java/tillerlink/peering/Gateways.java
+++ b/peering/src/test/java/tillerlink/peering/Gateways.java
@@ -20,7 +20,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import tillerlink.Policy;
+import tillerlink.channels.Terms;
 import tillerlink.net.life.Node;
+import tillerlink.peering.channels.ChannelsPart;
 
 /** Gateways as processes of their own, on loopback, for tests; none of them knows an engine. */
 final class Gateways implements AutoCloseable {
@@ -55,7 +57,8 @@
         Sharing sharing = new Sharing(args[0], args[1], args[2], List.of(args[5].split(",")), args[4].equals("-") ? null
                 : args[4].getBytes(StandardCharsets.UTF_8), Map.of(), 2000, Path.of(args[3]), 1 << 20);
         new Node().serve(System.getenv(), Policy::new, null, assignment -> null,
-                Peering.factory(sharing, List.of(new Echo())));
+                Peering.factory(sharing, List.of(new Echo(),
+                new ChannelsPart(Terms.of(List.of("n1", "n2", "n3"))))));
         System.exit(0);
     }
 
