--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# make demo | build | tools | bench | classes | test | lint | run; run takes CONFIG=path, by default the example's.
+# make demo | build | tools | storm | bench | classes | test | lint | run; run takes CONFIG=path, by default the example's.
 CONFIG ?= examples/configuration.json
 RUN = $(shell sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 BUILD = $(shell sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 POLICY = $(shell sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
 
-.PHONY: demo build tools bench classes test lint run
+.PHONY: demo build tools storm bench classes test lint run
 build:
 	$(BUILD)
 
@@ -15,6 +15,14 @@
 demo: tools
 	bin/tillerlink demo
 
+# Faults over several processes of the program on loopback, drawn from SEED, for MINUTES: ends with 0 only if nothing broke.
+# ONCE=1 plays only the one seed, as a storm that found something has told it.
+SEED ?= 1
+MINUTES ?= 5
+storm: tools
+	java -Dtillerlink.invariants=true -cp storm/target/classes:tools/target/tillerlink-tools.jar \
+	    tillerlink.storm.Storm $(SEED) $(MINUTES) $(if $(ONCE),once)
+
 # Data structures made for the job against plain ones; FOR=Name plays one of them.
 bench:
 	mvn -q -P bench -DskipTests package
