--- a/bench/src/main/java/tillerlink/jmh/NewsQueue.java
+++ b/bench/src/main/java/tillerlink/jmh/NewsQueue.java
@@ -25,8 +25,8 @@
 import tillerlink.messages.members.Standing;
 
 /**
- * One piece of news comes, in place of what was to be told of that member, and a message takes what was sent least often:
- * the queue that members use against a heap, in which what is replaced has to be searched for.
+ * One piece of news comes, in place of what was to be told of that member, and a message takes what was sent least
+ * often: the queue that members use against a heap, in which what is replaced has to be searched for.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
@@ -59,7 +59,8 @@
         rumours = new Rumours(news);
         for (int i = 0; i < news; i++) {
             names[i] = "north-" + i;
-            said.put(names[i], new Rumour(names[i], Standing.ALIVE, new Card(1, 77L * i, "10.1.0.9:7400", "north"), "", 0));
+            Card card = new Card(1, 77L * i, "10.1.0.9:7400", "north");
+            said.put(names[i], new Rumour(names[i], Standing.ALIVE, card, "", 0));
             rumours.put(names[i], "");
             put(names[i]);
         }
