--- a/channels/src/main/java/tillerlink/channels/epoch/Voting.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Voting.java
@@ -61,6 +61,7 @@
     }
 
     public boolean promise(Ballot ballot) {
+        Invariant.holds(promised.compareTo(acceptedIn) >= 0, () -> "promised less than was accepted");
         if (ballot.compareTo(promised) < 0) {
             return false;
         }
--- a/channels/src/test/java/tillerlink/channels/Fleet.java
+++ b/channels/src/test/java/tillerlink/channels/Fleet.java
@@ -42,12 +42,19 @@
     final Map<String, String> texts = new HashMap<>();
     final List<String> violations = new ArrayList<>();
     int refused;
+    /** Replaced where a test plants a fault. */
+    java.util.function.Function<String, Terms> termsOf;
+    java.util.function.Function<String, java.util.random.RandomGenerator> chanceOf;
+    java.util.function.ToLongFunction<String> wallOf;
 
     Fleet(long seed, List<String> names, Terms terms) {
         random = new Random(seed);
         net = new VirtualFleet(random);
         this.names = names;
         this.terms = terms;
+        termsOf = name -> terms;
+        chanceOf = name -> random;
+        wallOf = net::wall;
     }
 
     private final class Names implements Roster {
@@ -97,7 +104,7 @@
     }
 
     Channels made(String name, Keep keep) {
-        return new Channels(terms, new Names(name), net.post(name), keep, random, net.wall(name),
+        return new Channels(termsOf.apply(name), new Names(name), net.post(name), keep, chanceOf.apply(name), wallOf.applyAsLong(name),
                 line -> log.add(name + ": " + line));
     }
 
@@ -169,6 +176,7 @@
                     violations.add(id + " says otherwise at " + name);
                 }
                 if (line.stable()) {
+                    causes(page, line);
                     String was = known.putIfAbsent(line.index(), what);
                     if (was != null && !was.equals(what)) {
                         violations.add("stable " + channel + " " + line.index() + " was " + was + " and is " + what
@@ -179,6 +187,23 @@
         }
     }
 
+    /** What a writer had seen stands before what it wrote, unless it came after that was agreed on. */
+    private void causes(Page page, Page.Line line) {
+        for (List<Dot> dots : List.of(line.entry().over(), line.entry().seen())) {
+            for (Dot dot : dots) {
+                if (dot.stamp() >= line.entry().stamp()) {
+                    violations.add(line.entry().dot().text() + " is stamped before what its writer had seen");
+                }
+            }
+        }
+        for (int i = (int) (line.index() - page.first()) + 1; i < page.lines().size(); i++) {
+            Page.Line later = page.lines().get(i);
+            if (line.entry().over().stream().anyMatch(later.entry().dot()::same) && !later.late()) {
+                violations.add(line.entry().dot().text() + " stands before what its writer had seen");
+            }
+        }
+    }
+
     void lookAll() {
         names.forEach(this::look);
     }
--- a/channels/src/test/java/tillerlink/channels/History.java
+++ b/channels/src/test/java/tillerlink/channels/History.java
@@ -20,6 +20,8 @@
     private final TreeMap<String, Long> recovering = new TreeMap<>();
     private final int steps;
     private int appended;
+    /** Called after each step: where tests plant faults. */
+    Runnable each = () -> { };
 
     History(long seed, int steps) {
         this(seed, steps, fleetOf(seed));
@@ -40,6 +42,7 @@
         fleet.net.playFor(Fleet.SECOND);
         for (int i = 0; i < steps; i++) {
             step();
+            each.run();
             fleet.net.playFor(fleet.random.nextInt(20) == 0 ? 80_000 : 200 + fleet.random.nextInt(15_000));
             fleet.look(one());
         }
