--- a/statements/src/main/java/tillerlink/statements/Statements.java
+++ b/statements/src/main/java/tillerlink/statements/Statements.java
@@ -282,6 +282,11 @@
         return catalog;
     }
 
+    /** How often this gateway lost a lease that it held. */
+    public long leasesLost() {
+        return holding.losses();
+    }
+
     public boolean isLeader() {
         return consensus != null && consensus.isLeader();
     }
--- a/statements/src/main/java/tillerlink/statements/catalog/Catalog.java
+++ b/statements/src/main/java/tillerlink/statements/catalog/Catalog.java
@@ -16,7 +16,7 @@
 
 /**
  * What is prepared, and the schema version of each table group: a pure function of the log. A generation is the index
- * of the entry that gave a statement its text; so a name that is dropped needs no tombstone, and no old text comes back.
+ * of the entry that gave a statement its text: a name that is dropped needs no tombstone, and no old text comes back.
  */
 public final class Catalog {
     /** Statements at the most. */
--- a/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
@@ -25,6 +25,9 @@
         void told(String words);
     }
 
+    private record Greeting(long nonce, long known) {
+    }
+
     private static final long AGAIN = 2000;
 
     private final Voters voters;
@@ -35,7 +38,7 @@
     private final Host host;
     private final int self;
     private final Map<Integer, Seen> answers = new TreeMap<>();
-    private final Map<Integer, Long> lastNonce = new TreeMap<>();
+    private final Map<Integer, Greeting> greetings = new TreeMap<>();
     private long nonce;
     private long askAt;
     private boolean back;
@@ -85,10 +88,14 @@
         });
     }
 
-    /** What was last known of that voter's starts, before this one. */
+    /** What was known of that voter's starts before this one; the same for a repeat, as the first answer may be lost. */
     long knownBefore(int place, Hello hello, long known) {
-        Long last = lastNonce.put(place, hello.nonce());
-        return last != null && last == hello.nonce() && known == hello.stamp().boots() ? known - 1 : known;
+        Greeting last = greetings.get(place);
+        if (last == null || last.nonce != hello.nonce()) {
+            last = new Greeting(hello.nonce(), known);
+            greetings.put(place, last);
+        }
+        return last.known;
     }
 
     void answered(int place, Seen seen) {
@@ -199,8 +206,8 @@
     }
 
     /**
-     * It goes on saying so until the log has it. Who votes it takes from the others, but not that it does so itself: that
-     * the log has to say.
+     * It goes on saying so until the log has it. Who votes it takes from the others, but not that it does so itself:
+     * that the log has to say.
      */
     private void lost() {
         for (Seen seen : answers.values()) {
--- a/statements/src/main/java/tillerlink/statements/consensus/Leading.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Leading.java
@@ -84,7 +84,10 @@
                 it.next = it.match + 1;
             }
         } else {
+            long before = it.next;
             it.next = Math.max(it.match + 1, Math.min(it.next - 1, ack.match() + 1));
+            // What brings nothing is not sent again at once.
+            it.waiting = it.next >= before;
         }
     }
 
--- a/statements/src/main/java/tillerlink/statements/consensus/Learner.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Learner.java
@@ -12,6 +12,7 @@
 public final class Learner {
     private static final long AGAIN = 2500;
     private static final long ELSEWHERE = 3000;
+    private static final int TIMES_MOST = 6;
 
     private final Voters voters;
     private final Outbox out;
@@ -19,6 +20,7 @@
     private final Consumer<String> notes;
     private final Pieces pieces;
     private int asks;
+    private int times;
     private long askAt;
     private long heardAt;
 
@@ -36,7 +38,8 @@
         if (now < askAt) {
             return;
         }
-        if (now - heardAt > ELSEWHERE) {
+        // One that answers may itself be behind.
+        if (now - heardAt > ELSEWHERE || ++times % TIMES_MOST == 0) {
             asks = (asks + 1) % voters.count();
             heardAt = now;
         }
--- a/statements/src/main/java/tillerlink/statements/consensus/Voters.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Voters.java
@@ -4,7 +4,7 @@
 
 /** The stated voters, the same list on every gateway of the fleet. */
 public final class Voters {
-    public static final int MOST = 7;
+    public static final int MOST = 15;
 
     private final List<String> names;
     private final String self;
--- a/statements/src/main/java/tillerlink/statements/lease/Holding.java
+++ b/statements/src/main/java/tillerlink/statements/lease/Holding.java
@@ -42,6 +42,7 @@
         long version;
         long wantedAt;
         int running;
+        boolean held;
 
         Group(int voters) {
             grants = new Granted[voters];
@@ -60,6 +61,8 @@
     private long sequence;
     private long askAt;
     private long heardAt = Long.MIN_VALUE / 2;
+    private long losses;
+    private long endsNext = Long.MAX_VALUE;
 
     public Holding(LeaseTerms lease, Terms terms, Voters voters, Outbox out, RandomGenerator random) {
         this.lease = lease;
@@ -144,6 +147,7 @@
 
     public void turn(long now, Catalog catalog) {
         giveBack(now, catalog);
+        countLosses(now);
         if (now < askAt || groups.isEmpty()) {
             return;
         }
@@ -188,6 +192,21 @@
         }
     }
 
+    private void countLosses(long now) {
+        endsNext = Long.MAX_VALUE;
+        groups.forEach((group, it) -> {
+            long until = heldUntil(group, it.version) - lease.margin();
+            losses += it.held && until <= now ? 1 : 0;
+            it.held = until > now;
+            endsNext = it.held ? Math.min(endsNext, until) : endsNext;
+        });
+    }
+
+    /** How often a lease that was held was lost: it ended, was given back or dropped. */
+    public long losses() {
+        return losses;
+    }
+
     private void release(List<Integer> some) {
         asks.clear();
         for (String voter : voters.names()) {
@@ -201,7 +220,7 @@
     }
 
     public long dueAt() {
-        return groups.isEmpty() ? Long.MAX_VALUE : askAt;
+        return groups.isEmpty() ? Long.MAX_VALUE : Math.min(askAt, endsNext);
     }
 
     public void granted(long now, String from, Lease answer) {
--- a/statements/src/main/java/tillerlink/statements/prepare/Literal.java
+++ b/statements/src/main/java/tillerlink/statements/prepare/Literal.java
@@ -28,8 +28,8 @@
     }
 
     /**
-     * Quotes are doubled. A backslash is refused, as it stands for itself with some engines and is an escape for others;
-     * so are characters that can't be seen.
+     * Quotes are doubled. A backslash is refused, as it stands for itself with some engines and is an escape for
+     * others; so are characters that can't be seen.
      */
     private static String text(int number, String value) {
         for (int i = 0; i < value.length(); i++) {
@@ -50,7 +50,8 @@
 
     private static String matching(int number, ParameterType type, Pattern pattern, String value) {
         if (!pattern.matcher(value).matches()) {
-            throw new IllegalArgumentException("parameter $" + number + " is no " + type.name().toLowerCase(Locale.ROOT));
+            throw new IllegalArgumentException("parameter $" + number + " is no "
+                    + type.name().toLowerCase(Locale.ROOT));
         }
         return value;
     }
--- a/statements/src/test/java/tillerlink/statements/Town.java
+++ b/statements/src/test/java/tillerlink/statements/Town.java
@@ -343,6 +343,17 @@
                 .reduce((one, other) -> one + "+" + other).orElse("none");
     }
 
+    String told(String name) {
+        if (!isUp(name)) {
+            return name + " is down";
+        }
+        Statements part = part(name);
+        return name + ": applied " + part.catalog().applied() + ", waiting " + part.catalog().waiting().keySet()
+                + ", anew " + part.catalog().waitingAnew().size() + ", idle " + part.isIdle() + part.voter()
+                .map(it -> ", term " + it.term() + ", commit " + it.commit() + ", leader " + it.leader().orElse("none")
+                + (it.isSound() ? "" : ", not sound") + ", back since " + it.backSince()).orElse("");
+    }
+
     /** Plays on until it holds; false if it doesn't in that time. */
     boolean until(long most, java.util.function.BooleanSupplier holds) {
         long end = fleet.now() + most;
