--- a/bench/src/main/java/tillerlink/jmh/Envelopes.java
+++ b/bench/src/main/java/tillerlink/jmh/Envelopes.java
@@ -43,7 +43,8 @@
     }
 
     private EnvelopeCodec codec() {
-        return new EnvelopeCodec("newsroom", sealed ? Seal.of("a secret of a fleet".getBytes(StandardCharsets.UTF_8)) : null);
+        byte[] secret = "a secret of a fleet".getBytes(StandardCharsets.UTF_8);
+        return new EnvelopeCodec("newsroom", sealed ? Seal.of(secret) : null);
     }
 
     @Benchmark
--- a/gateway/src/main/java/tillerlink/net/state/Side.java
+++ b/gateway/src/main/java/tillerlink/net/state/Side.java
@@ -34,7 +34,9 @@
     /** The last turn is over; what was handed to the disk may still be waited for. */
     void close();
 
-    /** Where the answer to one call goes; the second and later ones, and those to clients that have gone, are dropped. */
+    /**
+     * Where the answer to one call goes; the second and later ones, and those to clients that have gone, are dropped.
+     */
     @FunctionalInterface
     interface Reply {
         void answer(HttpAnswer answer);
--- a/messages/src/test/java/tillerlink/messages/envelope/EnvelopeTest.java
+++ b/messages/src/test/java/tillerlink/messages/envelope/EnvelopeTest.java
@@ -153,7 +153,7 @@
             boolean[] came = new boolean[20_000];
             long newest = 0;
             for (int i = 0; i < 20_000; i++) {
-                int counter = (int) Math.max(1, Math.min(19_999, i + random.nextInt(10) - random.nextInt(6000)));
+                int counter = Math.max(1, Math.min(19_999, i + random.nextInt(10) - random.nextInt(6000)));
                 boolean told = counter > newest - Window.SPAN && !came[counter];
                 assertEquals(told, window.isNew(counter), "counter " + counter + " after " + newest);
                 came[counter] |= told;
--- a/peering/src/main/java/tillerlink/peering/Book.java
+++ b/peering/src/main/java/tillerlink/peering/Book.java
@@ -5,8 +5,8 @@
 import java.util.function.UnaryOperator;
 
 /**
- * Where others are reached: at the address that each tells of itself, unless the operator says that this gateway reaches
- * it elsewhere, as behind a translator of addresses.
+ * Where others are reached: at the address that each tells of itself, unless the operator says that this gateway
+ * reaches it elsewhere, as behind a translator of addresses.
  */
 final class Book {
     private final Map<String, String> reach;
--- a/peering/src/main/java/tillerlink/peering/Peering.java
+++ b/peering/src/main/java/tillerlink/peering/Peering.java
@@ -36,8 +36,9 @@
 import tillerlink.peers.Post;
 
 /**
- * What this gateway shares with others, on its process: feeds members and the other parts with messages, calls and time,
- * all in turns of the gateway's one thread. Before anything that waited it tells them if the process had been away.
+ * What this gateway shares with others, on its process: feeds members and the other parts with messages, calls and
+ * time, all in turns of the gateway's one thread. Before anything that waited it tells them if the process had been
+ * away.
  */
 public final class Peering implements Side {
     private static final Logger LOG = LoggerFactory.getLogger(Peering.class);
--- a/peering/src/main/java/tillerlink/peering/Watchdog.java
+++ b/peering/src/main/java/tillerlink/peering/Watchdog.java
@@ -3,9 +3,9 @@
 import tillerlink.peers.Invariant;
 
 /**
- * Ends the process when a part breaks its own rules: where the invariants are on, one line tells which, and nothing that
- * may be wrong by then reaches anybody. Where they are off, a fault costs what it was in the middle of, as elsewhere in
- * the gateway.
+ * Ends the process when a part breaks its own rules: where the invariants are on, one line tells which, and nothing
+ * that may be wrong by then reaches anybody. Where they are off, a fault costs what it was in the middle of, as
+ * elsewhere in the gateway.
  */
 final class Watchdog {
     static final int EXIT = 70;
--- a/peering/src/main/java/tillerlink/peering/io/Addresses.java
+++ b/peering/src/main/java/tillerlink/peering/io/Addresses.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * Addresses as members tell them to each other: host:port with the host written out in digits. Nothing is looked up, for
- * that could wait. Used by one thread.
+ * Addresses as members tell them to each other: host:port with the host written out in digits. Nothing is looked up,
+ * for that could wait. Used by one thread.
  */
 final class Addresses {
     private static final int KEPT_MOST = 4096;
--- a/peering/src/main/java/tillerlink/peering/part/Attached.java
+++ b/peering/src/main/java/tillerlink/peering/part/Attached.java
@@ -5,8 +5,8 @@
 import tillerlink.peers.Part;
 
 /**
- * A part of the shared state as it hangs on a gateway's process: its machine, and what clients call. All of it is called
- * in turns of the one thread. Before any call its machine was told if the process had been away.
+ * A part of the shared state as it hangs on a gateway's process: its machine, and what clients call. All of it is
+ * called in turns of the one thread. Before any call its machine was told if the process had been away.
  */
 public interface Attached {
     /** What messages to it bear, 2 to 255; the same in every release, and no other part's. */
