--- a/gateway/src/main/java/tillerlink/net/state/Side.java
+++ b/gateway/src/main/java/tillerlink/net/state/Side.java
@@ -43,8 +43,8 @@
     }
 
     /**
-     * Whether hops of a submission may still go out. Once that was not so, be it for a moment in which nobody asked, it
-     * is never so again: else what was written in that moment would pass for sound.
+     * Whether hops of a submission may still go out. A yes stands for all the time since the submission came, also for
+     * moments in which nobody asked: else what was written in one in which it did not hold would pass for sound.
      */
     interface Guard {
         /**
--- a/peering/src/main/java/tillerlink/peering/Peering.java
+++ b/peering/src/main/java/tillerlink/peering/Peering.java
@@ -93,7 +93,8 @@
         parts.add(new MembersDoor(members, inbox.refused()));
         for (Attaching other : others) {
             parts.add(other.attach(new Ground(assignment.name(), sharing.site(), members, post(other.number()),
-                    new Share(keep, other.name()), new SplittableRandom(chance.nextLong()), door, clock)));
+                    new Share(keep, other.name()), new SplittableRandom(chance.nextLong()),
+                    new WatchedDoor(door, watchdog), clock)));
         }
         datagrams = new Datagrams(sharing.listen(), Envelope.DATAGRAM_MOST, turns, this::came);
         LOG.info("{} of fleet {} at site {} is reached by other gateways on {}", assignment.name(), sharing.fleet(),
--- a/peering/src/main/java/tillerlink/peering/Watchdog.java
+++ b/peering/src/main/java/tillerlink/peering/Watchdog.java
@@ -1,5 +1,6 @@
 package tillerlink.peering;
 
+import java.util.function.Supplier;
 import tillerlink.peers.Invariant;
 
 /**
@@ -11,21 +12,29 @@
     static final int EXIT = 70;
 
     void run(Runnable what) {
-        try {
+        get(() -> {
             what.run();
+            return null;
+        });
+    }
+
+    <T> T get(Supplier<T> what) {
+        try {
+            return what.get();
         } catch (Invariant.Broken e) {
-            end(e.getMessage(), e);
+            throw end(e.getMessage(), e);
         } catch (RuntimeException e) {
             if (!Invariant.ON) {
                 throw e;
             }
-            end("an internal fault: " + e, e);
+            throw end("an internal fault: " + e, e);
         }
     }
 
-    private static void end(String words, Throwable why) {
+    private static IllegalStateException end(String words, Throwable why) {
         System.err.println("INVARIANT " + words.replaceAll("\\s*\\R\\s*", " "));
         why.printStackTrace();
         Runtime.getRuntime().halt(EXIT);
+        return new IllegalStateException("not reached");
     }
 }
