--- a/members/src/main/java/tillerlink/members/state/Table.java
+++ b/members/src/main/java/tillerlink/members/state/Table.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -47,6 +48,8 @@
     private final Periods periods;
     private final Changes changes;
     private final NavigableMap<String, Entry> entries = new TreeMap<>();
+    /** The same, for the many questions after one; nothing goes by its order. */
+    private final Map<String, Entry> index = new HashMap<>();
     private final Map<String, Entry> suspected = new TreeMap<>();
     private final List<NavigableSet<String>> buckets = new ArrayList<>();
     private final Picks talking = new Picks();
@@ -65,7 +68,7 @@
 
     /** Null if it is not known. */
     public Entry get(String name) {
-        return entries.get(name);
+        return index.get(name);
     }
 
     public NavigableMap<String, Entry> all() {
@@ -127,7 +130,7 @@
      */
     public Outcome tell(Rumour rumour, long now, boolean doubtful) {
         Invariant.holds(!rumour.name().equals(self), () -> "oneself in the table");
-        Entry entry = entries.get(rumour.name());
+        Entry entry = index.get(rumour.name());
         if (entry == null) {
             return unknown(rumour, now, doubtful);
         }
@@ -302,6 +305,7 @@
 
     void remove(Entry entry) {
         entries.remove(entry.name());
+        index.remove(entry.name());
         buckets.get(MemberCodec.bucket(entry.name())).remove(entry.name());
         unlist(entry);
     }
@@ -310,6 +314,7 @@
 
     private void add(Entry entry) {
         entries.put(entry.name(), entry);
+        index.put(entry.name(), entry);
         buckets.get(MemberCodec.bucket(entry.name())).add(entry.name());
         list(entry);
         Invariant.holds(entries.size() <= 2 * periods.mostMembers(), () -> "members known: " + entries.size());
--- a/members/src/test/java/tillerlink/members/measure/MeasureMembers.java
+++ b/members/src/test/java/tillerlink/members/measure/MeasureMembers.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import tillerlink.members.Play;
 import tillerlink.members.terms.Periods;
@@ -20,6 +21,8 @@
             "detection,pauses,bytes,heal,memory,others").split(","));
     private static final int BIG = Integer.getInteger("big", 1000);
 
+    private static final double[] LOST = Stream.of(System.getProperty("lost", "0,0.05,0.2,0.3").split(","))
+            .mapToDouble(Double::parseDouble).toArray();
     private static final int[] SIZES = IntStream.of(30, 120, BIG).filter(size -> size >= Integer.getInteger("from", 0))
             .toArray();
 
@@ -76,7 +79,7 @@
                 + "member | living given up |");
         say("|---|---|---|---|---|---|---|---|");
         for (int size : SIZES) {
-            for (double lost : size == BIG ? new double[] {0, 0.3} : new double[] {0, 0.05, 0.2, 0.3}) {
+            for (double lost : LOST) {
                 detection(size, lost, true);
                 detection(size, lost, false);
             }
@@ -184,7 +187,7 @@
         say("\n| members | lost | messages a second, each sent | bytes a second, each sent | bytes of a message |");
         say("|---|---|---|---|---|");
         for (int size : new int[] {3, 30, 120, BIG}) {
-            for (double lost : size == BIG ? new double[] {0} : new double[] {0, 0.2}) {
+            for (double lost : LOST) {
                 Play play = fleet(size, 1, periods(true));
                 play.fleet.usual(Fault.lossy(lost));
                 play.fleet.playFor(40 * Play.SECOND);
--- a/messages/src/main/java/tillerlink/messages/members/MemberCodec.java
+++ b/messages/src/main/java/tillerlink/messages/members/MemberCodec.java
@@ -31,6 +31,9 @@
     private static final int UP_TO = 12;
     private static final int REPLY = 13;
 
+    /** Numbers of fields, lengths and the birth of a rumour. */
+    private static final int RUMOUR_FRAME = 30;
+
     private static final int PROBE = 1;
     private static final int ACK = 2;
     private static final int ASK = 3;
@@ -75,9 +78,24 @@
         return out.done();
     }
 
-    /** How many bytes a rumour adds to a message. */
+    /** How many bytes a rumour adds to a message at the most. */
     public static int size(Rumour rumour) {
-        return rumour(rumour).done().length + 3;
+        Card card = rumour.card();
+        return RUMOUR_FRAME + varint(card.incarnation()) + varint(rumour.age()) + utf8(rumour.name())
+                + utf8(card.address()) + utf8(card.site()) + utf8(rumour.by());
+    }
+
+    private static int varint(long value) {
+        return (70 - Long.numberOfLeadingZeros(value | 1)) / 7;
+    }
+
+    private static int utf8(String text) {
+        int bytes = text.length();
+        for (int i = 0; i < text.length(); i++) {
+            char at = text.charAt(i);
+            bytes += at < 0x80 ? 0 : at < 0x800 ? 1 : 2;
+        }
+        return bytes;
     }
 
     private static FieldWriter card(Card card) {
