Let serve keep prepared statements where the operator's file names them

A voter that starts counts one that lost its disk as heard: as there is one in doubt at a time, its own disk is in order; before, a lost disk and a restart at once left three voters without a leader for ever. A disk from before the founding asks the others as any other.

--- a/statements/src/main/java/tillerlink/statements/consensus/Consensus.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Consensus.java
@@ -132,7 +132,11 @@
 
     /** Whether what this voter says of leases can be relied on: it is back, and holds all that it ever held. */
     public boolean isSound() {
-        return homecoming.isBack() && !disk.failed() && meetsDuty();
+        return isBack() && !disk.failed() && meetsDuty();
+    }
+
+    private boolean isBack() {
+        return backSince >= 0;
     }
 
     /** Since when it is back on this start; -1 if it isn't. */
@@ -286,7 +290,7 @@
     // ---- elections ----
 
     private boolean mayStand() {
-        return homecoming.isBack() && meetsDuty() && membership.isMember(self, identity.disk())
+        return isBack() && meetsDuty() && membership.isMember(self, identity.disk())
                 && membership.excluded(commit) != self;
     }
 
@@ -340,7 +344,7 @@
     private void askedVote(String from, int place, AskVote ask) {
         boolean member = membership.isMember(place, ask.stamp().disk());
         boolean hears = role == Role.LEADER || now - heardLeaderAt < ELECTION_LEAST;
-        if (!homecoming.isBack() || !member || hears) {
+        if (!isBack() || !member || hears) {
             return;
         }
         boolean upToDate = Log.reaches(ask.lastTerm(), ask.lastIndex(), log.lastTerm(), log.lastIndex())
@@ -413,7 +417,7 @@
     }
 
     private boolean takesEntries() {
-        return homecoming.isBack() || identity.stage() == Stage.LOST;
+        return isBack() || identity.stage() == Stage.LOST;
     }
 
     private void appended(String from, Append append) {
--- a/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
@@ -54,10 +54,6 @@
         nonce = random.nextLong();
     }
 
-    boolean isBack() {
-        return back;
-    }
-
     long dueAt() {
         return back ? Long.MAX_VALUE : askAt;
     }
@@ -162,8 +158,7 @@
         if (same) {
             identity.stageIs(Stage.FOUNDED, identity.pledge());
             host.founded(identity.pledge());
-            back = true;
-            disk.then(() -> host.returned(0, 0, 0));
+            founded();
         }
     }
 
@@ -182,8 +177,9 @@
         int heard = 0;
         for (Map.Entry<Integer, Seen> each : answers.entrySet()) {
             Seen seen = each.getValue();
+            // One that lost its disk is the one in doubt, as there is one at a time: so this one's disk is in order.
+            heard += seen.stage() == Stage.FRESH ? 0 : 1;
             if (seen.stage() == Stage.FOUNDED) {
-                heard++;
                 term = Math.max(term, seen.term());
                 if (Log.reaches(seen.lastTerm(), seen.lastIndex(), lastTerm, lastIndex)) {
                     lastTerm = seen.lastTerm();
@@ -201,7 +197,10 @@
             askAnew();
         } else if (heard >= voters.othersToReturn()) {
             back = true;
-            host.returned(term, lastTerm, lastIndex);
+            long highest = term;
+            long theirTerm = lastTerm;
+            long theirIndex = lastIndex;
+            disk.then(() -> host.returned(highest, theirTerm, theirIndex));
         }
     }
 
--- a/tools/src/main/java/tillerlink/cli/Beside.java
+++ b/tools/src/main/java/tillerlink/cli/Beside.java
@@ -9,10 +9,12 @@
 import tillerlink.operator.Channels;
 import tillerlink.operator.Members;
 import tillerlink.operator.OperatorFile;
+import tillerlink.operator.Statements;
 import tillerlink.peering.Peering;
 import tillerlink.peering.Sharing;
 import tillerlink.peering.channels.ChannelsPart;
 import tillerlink.peering.part.Attaching;
+import tillerlink.peering.statements.StatementsAttaching;
 
 /** What stands beside the module of a gateway, as the operator's file names it. */
 final class Beside {
@@ -29,7 +31,8 @@
         }
         OperatorFile.Storing store = file.store();
         long keepMost = (store == null ? 0 : store.bytesMost())
-                + (file.channels() == null ? 0 : file.channels().diskMost());
+                + (file.channels() == null ? 0 : file.channels().diskMost())
+                + (file.statements() == null ? 0 : StatementsAttaching.KEEP_MOST);
         return Peering.factory(new Sharing(members.fleet(), members.site(), members.listen(), members.seeds(),
                 members.secret(), members.reach(), members.probeEvery(),
                 store == null ? null : Path.of(store.folder()), keepMost), parts(file));
@@ -44,6 +47,11 @@
                     channels.aheadMost() / TENTHS_PER_MS, Math.min(channels.memoryMost(), channels.diskMost()),
                     channels.most())));
         }
+        Statements statements = file.statements();
+        if (statements != null) {
+            parts.add(new StatementsAttaching(statements.voters(), statements.lease(), statements.drift(), false,
+                    statements.fence()));
+        }
         return parts;
     }
 }
