--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -67,13 +67,8 @@
     /**
      * @param bytesMost how much may be kept for clients; beyond it no submission is taken
      * @param carriers  how engines are reached, by their kinds; null, or null for an engine: over engine lines
+     * @param recall    what is remembered across restarts; null: nothing
      */
-    public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
-                   Carrier.Factory carriers) {
-        this(assignment, factory, driver, now, bytesMost, carriers, null);
-    }
-
-    /** @param recall what is remembered across restarts; null: nothing */
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
                    Carrier.Factory carriers, Recall recall) {
         this.driver = driver;
