--- a/peering/src/main/java/tillerlink/peering/Peering.java
+++ b/peering/src/main/java/tillerlink/peering/Peering.java
@@ -206,8 +206,8 @@
             for (Attached part : parts) {
                 if (stirred || now >= part.machine().dueAt()) {
                     part.machine().turn(now, wall());
-                    part.settled(now, wall());
                 }
+                part.settled(now, wall());
             }
             stirred = false;
         });
--- a/peering/src/main/java/tillerlink/peering/part/Attached.java
+++ b/peering/src/main/java/tillerlink/peering/part/Attached.java
@@ -20,7 +20,10 @@
     /** A client's call of such a path, of whatever method. It is answered once, now or in a later turn. */
     void called(long now, long wall, HttpCall call, Side.Reply reply);
 
-    /** All that came in a turn was told, and the machine has had its turn: calls that it settled are answered. */
+    /**
+     * At the end of every turn, so ten times a second at the least: calls that the machine settled, or whose time is up,
+     * are answered.
+     */
     default void settled(long now, long wall) {
         // Whoever answers at once has nothing to do.
     }
