--- a/storm/src/main/java/tillerlink/storm/client/Channels.java
+++ b/storm/src/main/java/tillerlink/storm/client/Channels.java
@@ -41,25 +41,26 @@
     /** The log from a place on, to its end. */
     public static List<LogLine> log(HttpDoor door, String channel, long from) throws IOException {
         List<LogLine> lines = new ArrayList<>();
+        long next = from;
         for (boolean more = true; more;) {
-            HttpDoor.Reply reply = door.get(PATH + channel + "/log/" + (from + lines.size()));
-            if (reply.status() != 200 || !(reply.object().get("entries") instanceof List<?> entries)) {
+            HttpDoor.Reply reply = door.get(PATH + channel + "/log/" + next);
+            if (reply.status() != 200 || !(reply.object().get("events") instanceof List<?> events)) {
                 throw new IOException("log of " + channel + ": " + reply.status() + " " + reply.body());
             }
-            for (Object one : entries) {
-                if (one instanceof Map<?, ?> entry) {
-                    lines.add(line(from + lines.size(), entry));
-                }
+            for (Object one : events) {
+                lines.add(line((Map<?, ?>) one));
             }
-            more = !entries.isEmpty();
+            next = lines.isEmpty() ? next : lines.get(lines.size() - 1).place() + 1;
+            more = Boolean.TRUE.equals(reply.object().get("more")) && !events.isEmpty();
         }
         return lines;
     }
 
-    private static LogLine line(long place, Map<?, ?> entry) {
-        Map<Object, Object> content = new LinkedHashMap<>(entry);
-        content.keySet().removeAll(List.of("place", "index", "stable", "late"));
-        return new LogLine(place, String.valueOf(entry.get("id")), Boolean.TRUE.equals(entry.get("stable")),
+    private static LogLine line(Map<?, ?> event) {
+        Map<Object, Object> content = new LinkedHashMap<>(event);
+        content.keySet().removeAll(List.of("index", "stable", "late", "repeat"));
+        long place = event.get("index") instanceof Number number ? number.longValue() : -1;
+        return new LogLine(place, String.valueOf(event.get("id")), Boolean.TRUE.equals(event.get("stable")),
                 content.toString());
     }
 }
--- a/storm/src/main/java/tillerlink/storm/process/Papers.java
+++ b/storm/src/main/java/tillerlink/storm/process/Papers.java
@@ -89,7 +89,8 @@
             members(text);
         }
         if (plan.shared().compareTo(Plan.Shared.CHANNELS) >= 0) {
-            text.append("channels {\n  sites = ").append(listed(plan.counted())).append("\n  absent_after_s = ")
+            text.append("channels {\n  sites = ").append(listed(plan.counted())).append("\n  voters = ")
+                    .append(listed(plan.counted())).append("\n  absent_after_s = ")
                     .append(ABSENT_AFTER_S).append("\n}\n");
         }
         if (plan.shared().compareTo(Plan.Shared.STATEMENTS) >= 0) {
