Break the last lines over 120 columns, outside what is being edited

Only breaks: of comments, argument lists and texts of messages, and one @param of Periods named as its component is.

--- a/channels/src/main/java/tillerlink/channels/Channels.java
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -43,8 +43,8 @@
 import tillerlink.peers.Roster;
 
 /**
- * The logs of all channels at one gateway. Takes appends at any time, also cut off, and gives a log of which a prefix is
- * stable: agreed on by a majority of the gateways counted in, and from then on the same everywhere and for good.
+ * The logs of all channels at one gateway. Takes appends at any time, also cut off, and gives a log of which a prefix
+ * is stable: agreed on by a majority of the gateways counted in, and from then on the same everywhere and for good.
  */
 public final class Channels implements Part {
     private static final long REPORT_BUSY = 2500;
@@ -111,8 +111,8 @@
         store.incarnation(incarnation);
         journal.tail().forEach(entry -> stamps.saw(entry.stamp()));
         stamps.saw(journal.upTo());
-        agreement = new Agreement(roster.self(), incarnation, terms.counted(), terms.absentAfter(), journal, store, wire,
-                server, fetcher, standings, random);
+        agreement = new Agreement(roster.self(), incarnation, terms.counted(), terms.absentAfter(), journal, store,
+                wire, server, fetcher, standings, random);
     }
 
     // ---- for clients ----
@@ -120,8 +120,8 @@
     /**
      * Appends an event.
      *
-     * @param answer told in this turn if it is refused or was there already, otherwise once it is kept; never told if the
-     *               disk fails meanwhile
+     * @param answer told in this turn if it is refused or was there already, otherwise once it is kept; never told if
+     *               the disk fails meanwhile
      */
     public void append(long now, long wall, String channel, Draft draft, Consumer<Appended> answer) {
         time(now, wall);
@@ -147,8 +147,8 @@
         long tooFarBy = stamps.tooFarBy(now, wall);
         if (tooFarBy > 0) {
             refusedAhead++;
-            say("ahead", "an append was refused: its stamp would be " + tooFarBy + " ms further ahead of the fleet's time"
-                    + " than the " + terms.aheadMillis() + " ms allowed; set this machine's clock right");
+            say("ahead", "an append was refused: its stamp would be " + tooFarBy + " ms further ahead of the fleet's"
+                    + " time than the " + terms.aheadMillis() + " ms allowed; set this machine's clock right");
             answer.accept(new Appended.Refused("this gateway's clock is too far ahead of the fleet's", tooFarBy * 10));
             return;
         }
@@ -188,17 +188,20 @@
 
     private void write(String channel, Draft draft, Consumer<Appended> answer) {
         Entry entry = new Entry(roster.self(), roster.site(roster.self()), incarnation, sequence + 1, stamps.next(wall),
-                channel, draft.kind(), draft.cue(), draft.text(), draft.airsAt(), draft.key(), over(channel, draft), seen());
+                channel, draft.kind(), draft.cue(), draft.text(), draft.airsAt(), draft.key(),
+                over(channel, draft), seen());
         if (pending.size() >= PENDING_MOST
                 || !room.takes(journal, channel, entry.weight(), roster.names().size() + 1, pendingBytes)) {
             say("full", "channel " + channel + " is full of events that are not agreed on: appends are refused");
             answer.accept(new Appended.Refused("the channel is full", Room.COME_BACK));
             return;
         }
-        Invariant.holds(!journal.held().has(incarnation, entry.sequence()), () -> "an own number is used a second time");
+        Invariant.holds(!journal.held().has(incarnation, entry.sequence()),
+                () -> "an own number is used a second time");
         if (!store.entry(entry, () -> kept(entry, answer))) {
             say("disk", "an append could not be kept: the disk is full or has failed");
-            answer.accept(new Appended.Refused("it can't be kept here: the disk is full or has failed", Room.COME_BACK));
+            answer.accept(new Appended.Refused("it can't be kept here: the disk is full or has failed",
+                    Room.COME_BACK));
             return;
         }
         sequence++;
@@ -302,9 +305,9 @@
 
     public State state() {
         long stable = journal.logs().values().stream().mapToLong(ChannelLog::stableCount).sum();
-        return new State(incarnation, journal.applied(), journal.decided(), journal.base(), journal.tail().size(), stable,
-                journal.bytes(), journal.voters(), agreement.votes(), agreement.leads(), refusedAhead, malformed,
-                fetcher.again(), store.failures(), ownTakenBack, twoContents);
+        return new State(incarnation, journal.applied(), journal.decided(), journal.base(), journal.tail().size(),
+                stable, journal.bytes(), journal.voters(), agreement.votes(), agreement.leads(), refusedAhead,
+                malformed, fetcher.again(), store.failures(), ownTakenBack, twoContents);
     }
 
     // ---- from others ----
@@ -355,8 +358,9 @@
             restarted(from, before.own(), report);
         }
         Long digest = journal.digest(report.applied());
-        Invariant.holds(digest == null || digest == report.digest(), () -> "stable events up to step " + report.applied()
-                + " differ between " + roster.self() + " and " + from);
+        Invariant.holds(digest == null || digest == report.digest(),
+                () -> "stable events up to step " + report.applied() + " differ between " + roster.self()
+                        + " and " + from);
         stamps.heard(now, wall, from, report.wall());
         standings.take(now, report.own());
         report.others().forEach(other -> {
@@ -403,8 +407,8 @@
         }
         if (stamps.isTooFarAhead(now, wall, entry.stamp()) && !isAgreed(entry)) {
             refusedAhead++;
-            say("ahead of " + entry.gateway(), "an event of " + entry.gateway() + " is not taken yet: its stamp is further"
-                    + " ahead of the time than the " + terms.aheadMillis() + " ms allowed");
+            say("ahead of " + entry.gateway(), "an event of " + entry.gateway() + " is not taken yet: its stamp is"
+                    + " further ahead of the time than the " + terms.aheadMillis() + " ms allowed");
             return;
         }
         if (!store.entry(entry, null)) {
@@ -414,7 +418,8 @@
         stamps.saw(entry.stamp());
         if (entry.gateway().equals(roster.self())) {
             ownTakenBack++;
-            say("own", "events of this gateway's own past are taken back from " + from + ": its disk is lost or an old copy");
+            say("own", "events of this gateway's own past are taken back from " + from
+                    + ": its disk is lost or an old copy");
         }
         journal.put(entry);
         journal.apply();
--- a/channels/src/main/java/tillerlink/channels/agree/Agreement.java
+++ b/channels/src/main/java/tillerlink/channels/agree/Agreement.java
@@ -58,8 +58,8 @@
     private long lastDecided;
     private long dueAt;
 
-    public Agreement(String self, long incarnation, List<String> counted, long absentAfter, Journal journal, Store store,
-            Wire wire, Server server, Fetcher fetcher, Standings standings, RandomGenerator random) {
+    public Agreement(String self, long incarnation, List<String> counted, long absentAfter, Journal journal,
+            Store store, Wire wire, Server server, Fetcher fetcher, Standings standings, RandomGenerator random) {
         this.self = self;
         this.incarnation = incarnation;
         this.counted = List.copyOf(counted);
@@ -112,7 +112,9 @@
         }
     }
 
-    /** Notes first that a new process is there, and keeps that, so that nothing its earlier ones said counts with this. */
+    /**
+     * Notes first that a new process is there, and keeps that, so that nothing its earlier ones said counts with this.
+     */
     private void asked(String from, Ask ask) {
         voting.started(from, ask.incarnation());
         proposer.lives(List.of(new Life(from, ask.incarnation())));
@@ -139,7 +141,8 @@
     }
 
     private Promise promise(Ballot ballot, long slot) {
-        return new Promise(ballot, slot, voting.promised(), voting.acceptedIn(), voting.accepted(), incarnation, lives());
+        return new Promise(ballot, slot, voting.promised(), voting.acceptedIn(), voting.accepted(), incarnation,
+                lives());
     }
 
     private List<Life> lives() {
@@ -241,7 +244,8 @@
 
     private void begin(long now) {
         boolean leads = proposer.leads(journal.voters());
-        long notBefore = Math.max(Math.max(proposer.restUntil(), plannedAt + PLAN_LEAST), leads ? steppedAt + STEP_LEAST : 0);
+        long notBefore = Math.max(Math.max(proposer.restUntil(), plannedAt + PLAN_LEAST),
+                leads ? steppedAt + STEP_LEAST : 0);
         if (now < notBefore) {
             dueAt = Math.min(dueAt, notBefore);
             return;
--- a/channels/src/main/java/tillerlink/channels/entry/Stamps.java
+++ b/channels/src/main/java/tillerlink/channels/entry/Stamps.java
@@ -64,7 +64,10 @@
         last = Math.max(last, stamp);
     }
 
-    /** The last stamp given or seen, brought up to the wall unless that is too far ahead; no later one is at or below it. */
+    /**
+     * The last stamp given or seen, brought up to the wall unless that is too far ahead;
+     * no later one is at or below it.
+     */
     public long floor(long now, long wall) {
         long here = wall / 10 << Entry.COUNTER;
         if (!isTooFarAhead(now, wall, here)) {
--- a/channels/src/main/java/tillerlink/channels/epoch/Planner.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Planner.java
@@ -13,8 +13,8 @@
 import tillerlink.messages.channels.Span;
 
 /**
- * What the next step should be. That is a matter of judgement only, nothing rests on it but how few events come late: the
- * agreement alone makes what is stable stay so.
+ * What the next step should be. That is a matter of judgement only, nothing rests on it but how few events come late:
+ * the agreement alone makes what is stable stay so.
  */
 public final class Planner {
     /** So that a step goes in one message that every link carries. */
@@ -99,7 +99,9 @@
         return last == null ? 0 : last.stamp();
     }
 
-    /** Below what may be missing among what is held; a gap that stays is given up, and what fills it later comes late. */
+    /**
+     * Below what may be missing among what is held; a gap that stays is given up, and what fills it later comes late.
+     */
     private long gaps(long now, Journal journal) {
         long bound = Long.MAX_VALUE;
         TreeMap<Long, Long> before = new TreeMap<>(gapsSince);
--- a/channels/src/main/java/tillerlink/channels/epoch/Proposer.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Proposer.java
@@ -11,9 +11,9 @@
 import tillerlink.messages.channels.Cut;
 
 /**
- * One gateway's tries to have the next step agreed on: a ballot that a majority of the voters promises, then a step that a
- * majority accepts in it. Of what a majority promised the step that was accepted in the highest ballot must be taken.
- * A ballot once promised goes on for further steps while the voters stay the same.
+ * One gateway's tries to have the next step agreed on: a ballot that a majority of the voters promises, then a step
+ * that a majority accepts in it. Of what a majority promised the step that was accepted in the highest ballot must be
+ * taken. A ballot once promised goes on for further steps while the voters stay the same.
  */
 public final class Proposer {
     /** Asked again after so long. */
@@ -39,7 +39,9 @@
     private long sentAt;
     private long restUntil;
 
-    /** The incarnation is part of each ballot, so that one started anew with a lost disk never uses one a second time. */
+    /**
+     * The incarnation is part of each ballot, so that one started anew with a lost disk never uses one a second time.
+     */
     public Proposer(String self, long incarnation, RandomGenerator random) {
         name = self + "/" + Long.toHexString(incarnation);
         this.random = random;
--- a/channels/src/main/java/tillerlink/channels/epoch/Voting.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Voting.java
@@ -11,8 +11,9 @@
 import tillerlink.peers.Invariant;
 
 /**
- * What a gateway has promised and accepted on the agreed line. All of it is kept before it is said. A promise given never
- * falls: not by a restart, and, as {@link Witnesses} ask the others first, not by a lost disk or an old copy of it.
+ * What a gateway has promised and accepted on the agreed line. All of it is kept before it is said. A promise given
+ * never falls: not by a restart, and, as {@link Witnesses} ask the others first, not by a lost disk or an old copy
+ * of it.
  */
 public final class Voting {
     private Ballot promised = Ballot.NONE;
@@ -55,7 +56,9 @@
         return lives;
     }
 
-    /** A process of a gateway started; promises of its earlier ones are not counted with what is promised from now on. */
+    /**
+     * A process of a gateway started; promises of its earlier ones are not counted with what is promised from now on.
+     */
     public void started(String gateway, long incarnation) {
         lives.merge(gateway, incarnation, Math::max);
     }
--- a/channels/src/main/java/tillerlink/channels/epoch/Witnesses.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Witnesses.java
@@ -6,9 +6,9 @@
 import tillerlink.messages.channels.ChannelsMessage.Answer;
 
 /**
- * Whether a process that has just started may vote: it asks the others first what it may have agreed to, as its disk may
- * be lost, or an old copy, and can't tell so itself. Of any majority it was ever part of there is one among those that
- * answered: more than half of the others do.
+ * Whether a process that has just started may vote: it asks the others first what it may have agreed to, as its disk
+ * may be lost, or an old copy, and can't tell so itself. Of any majority it was ever part of there is one among those
+ * that answered: more than half of the others do.
  */
 public final class Witnesses {
     private final String self;
--- a/channels/src/main/java/tillerlink/channels/journal/Holdings.java
+++ b/channels/src/main/java/tillerlink/channels/journal/Holdings.java
@@ -113,7 +113,8 @@
 
     public List<Span> spans(long incarnation) {
         List<Span> all = new ArrayList<>();
-        ranges.getOrDefault(incarnation, new TreeMap<>()).forEach((from, to) -> all.add(new Span(incarnation, from, to)));
+        ranges.getOrDefault(incarnation, new TreeMap<>())
+                .forEach((from, to) -> all.add(new Span(incarnation, from, to)));
         return all;
     }
 
--- a/channels/src/main/java/tillerlink/channels/journal/Journal.java
+++ b/channels/src/main/java/tillerlink/channels/journal/Journal.java
@@ -16,8 +16,8 @@
 import tillerlink.peers.Invariant;
 
 /**
- * The set of events held, and their order: step by step as agreed, within a step and after the last one by stamp. What is
- * read of it is a function of the set and the steps alone.
+ * The set of events held, and their order: step by step as agreed, within a step and after the last one by stamp. What
+ * is read of it is a function of the set and the steps alone.
  */
 public final class Journal {
     /** Further ones are not taken until earlier ones are compacted. */
--- a/channels/src/main/java/tillerlink/channels/recovery/Store.java
+++ b/channels/src/main/java/tillerlink/channels/recovery/Store.java
@@ -16,9 +16,9 @@
 import tillerlink.peers.Keep;
 
 /**
- * What a gateway keeps, by name: {@code e/INCARNATION/SEQUENCE} events, {@code k/STEP} agreed steps, {@code v} promises,
- * {@code i} its last incarnation, {@code s} which sum holds, {@code s/STEP/PART} the sums. Changes are kept in the order
- * in which they are handed over: a promise never outlives the events it speaks of.
+ * What a gateway keeps, by name: {@code e/INCARNATION/SEQUENCE} events, {@code k/STEP} agreed steps, {@code v}
+ * promises, {@code i} its last incarnation, {@code s} which sum holds, {@code s/STEP/PART} the sums. Changes are kept
+ * in the order in which they are handed over: a promise never outlives the events it speaks of.
  */
 public final class Store {
     private static final int PART = 1 << 19;
--- a/channels/src/main/java/tillerlink/channels/sync/Wire.java
+++ b/channels/src/main/java/tillerlink/channels/sync/Wire.java
@@ -10,7 +10,9 @@
 
 /** Sends messages to other gateways, and chooses whom to send what is for all. */
 public final class Wire {
-    /** A fleet up to this size is told of everything straight; a larger one in part, and the rest hears it from those. */
+    /**
+     * A fleet up to this size is told of everything straight; a larger one in part, and the rest hears it from those.
+     */
     private static final int ALL_MOST = 12;
 
     private final Roster roster;
--- a/members/src/main/java/tillerlink/members/Members.java
+++ b/members/src/main/java/tillerlink/members/Members.java
@@ -21,8 +21,8 @@
 import tillerlink.peers.Roster;
 
 /**
- * Who takes part in a fleet of gateways, as one of them knows it. See {@code docs/members.md} and the design note beside
- * it. The wall clock decides nothing, but for which of two processes with one name is preferred.
+ * Who takes part in a fleet of gateways, as one of them knows it. See {@code docs/members.md} and the design note
+ * beside it. The wall clock decides nothing, but for which of two processes with one name is preferred.
  */
 public final class Members implements Part, Roster {
     private static final int PIECES_AT_ONCE = 8;
--- a/members/src/main/java/tillerlink/members/probe/Health.java
+++ b/members/src/main/java/tillerlink/members/probe/Health.java
@@ -3,8 +3,8 @@
 import tillerlink.peers.Invariant;
 
 /**
- * How well this process itself does, as far as it can tell: answers that stay out though others get them, refutations it
- * had to make, pauses. The worse, the longer it waits before it accuses anybody.
+ * How well this process itself does, as far as it can tell: answers that stay out though others get them, refutations
+ * it had to make, pauses. The worse, the longer it waits before it accuses anybody.
  */
 public final class Health {
     private final int most;
--- a/members/src/main/java/tillerlink/members/terms/Periods.java
+++ b/members/src/main/java/tillerlink/members/terms/Periods.java
@@ -4,7 +4,7 @@
  * All times and bounds of membership. Times are tenths of a millisecond.
  *
  * @param period          between two probes
- * @param wait            for an answer before the next step is tried, at the least
+ * @param answerWithin    wait for an answer before the next step is tried, at the least
  * @param waitMost        the same, at the most, however slow the links
  * @param relays          others asked to try a member that does not answer
  * @param suspicionFactor the shortest suspicion, in periods, is this times the logarithm of the fleet's size
@@ -20,15 +20,15 @@
  * @param healthMost      local health goes from 0 to that; 0 switches it off
  * @param mostMembers     others that take part at once; as many again may be gone or left
  */
-public record Periods(long period, long answerWithin, long waitMost, int relays, int suspicionFactor, int suspicionSpread,
-        int confirmations, long gossipEvery, int gossipTo, int rumourFactor, long retryEvery, long digestEvery,
-        long rumourLife, long forgetAfter, int healthMost, int mostMembers) {
+public record Periods(long period, long answerWithin, long waitMost, int relays, int suspicionFactor,
+        int suspicionSpread, int confirmations, long gossipEvery, int gossipTo, int rumourFactor, long retryEvery,
+        long digestEvery, long rumourLife, long forgetAfter, int healthMost, int mostMembers) {
     private static final long SECOND = 10_000;
 
     public Periods {
-        if (period < 10 || answerWithin < 1 || waitMost < answerWithin || relays < 0 || suspicionFactor < 1 || suspicionSpread < 1
-                || confirmations < 0 || gossipEvery < 1 || gossipTo < 0 || rumourFactor < 1 || retryEvery < 1
-                || digestEvery < 1 || rumourLife < 1 || forgetAfter <= rumourLife || healthMost < 0
+        if (period < 10 || answerWithin < 1 || waitMost < answerWithin || relays < 0 || suspicionFactor < 1
+                || suspicionSpread < 1 || confirmations < 0 || gossipEvery < 1 || gossipTo < 0 || rumourFactor < 1
+                || retryEvery < 1 || digestEvery < 1 || rumourLife < 1 || forgetAfter <= rumourLife || healthMost < 0
                 || mostMembers < 1) {
             throw new IllegalArgumentException("periods that can't be");
         }
@@ -40,19 +40,21 @@
     }
 
     public Periods withHealth(int most) {
-        return new Periods(period, answerWithin, waitMost, relays, suspicionFactor, suspicionSpread, confirmations, gossipEvery,
-                gossipTo, rumourFactor, retryEvery, digestEvery, rumourLife, forgetAfter, most, mostMembers);
+        return new Periods(period, answerWithin, waitMost, relays, suspicionFactor, suspicionSpread, confirmations,
+                gossipEvery, gossipTo, rumourFactor, retryEvery, digestEvery, rumourLife, forgetAfter,
+                most, mostMembers);
     }
 
     public Periods withMembers(int most) {
-        return new Periods(period, answerWithin, waitMost, relays, suspicionFactor, suspicionSpread, confirmations, gossipEvery,
-                gossipTo, rumourFactor, retryEvery, digestEvery, rumourLife, forgetAfter, healthMost, most);
+        return new Periods(period, answerWithin, waitMost, relays, suspicionFactor, suspicionSpread, confirmations,
+                gossipEvery, gossipTo, rumourFactor, retryEvery, digestEvery, rumourLife, forgetAfter,
+                healthMost, most);
     }
 
     /** How long rumours and those gone are remembered. */
     public Periods withMemory(long life, long forget) {
-        return new Periods(period, answerWithin, waitMost, relays, suspicionFactor, suspicionSpread, confirmations, gossipEvery,
-                gossipTo, rumourFactor, retryEvery, digestEvery, life, forget, healthMost, mostMembers);
+        return new Periods(period, answerWithin, waitMost, relays, suspicionFactor, suspicionSpread, confirmations,
+                gossipEvery, gossipTo, rumourFactor, retryEvery, digestEvery, life, forget, healthMost, mostMembers);
     }
 
     /** The shortest suspicion in a fleet of that size, oneself counted. */
--- a/messages/src/main/java/tillerlink/messages/FieldWriter.java
+++ b/messages/src/main/java/tillerlink/messages/FieldWriter.java
@@ -6,8 +6,8 @@
 import java.io.UncheckedIOException;
 
 /**
- * Writes numbered fields in protobuf's wire format. What is zero or empty is left out, and reads as such. A number, once
- * given to a field, is never given to another: that is how a later release is read by an earlier one.
+ * Writes numbered fields in protobuf's wire format. What is zero or empty is left out, and reads as such. A number,
+ * once given to a field, is never given to another: that is how a later release is read by an earlier one.
  */
 public final class FieldWriter {
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/messages/src/main/java/tillerlink/messages/channels/ChannelsCodec.java
+++ b/messages/src/main/java/tillerlink/messages/channels/ChannelsCodec.java
@@ -109,7 +109,8 @@
     }
 
     private static FieldWriter standing(Standing it) {
-        return new FieldWriter().text(1, it.gateway()).fixed(2, it.incarnation()).fixed(3, it.floor()).number(4, it.top());
+        return new FieldWriter().text(1, it.gateway()).fixed(2, it.incarnation()).fixed(3, it.floor())
+                .number(4, it.top());
     }
 
     private static FieldWriter ballot(Ballot it) {
--- a/messages/src/main/java/tillerlink/messages/channels/Dot.java
+++ b/messages/src/main/java/tillerlink/messages/channels/Dot.java
@@ -4,8 +4,8 @@
 
 /**
  * Names one event: who wrote it (an incarnation is one process of one gateway and never comes twice) and which of its
- * events it is. The stamp goes along, so that whoever has seen the event writes behind it though the event itself is not
- * there yet.
+ * events it is. The stamp goes along, so that whoever has seen the event writes behind it though the event itself is
+ * not there yet.
  */
 public record Dot(long incarnation, long sequence, long stamp) {
     public boolean same(Dot other) {
--- a/messages/src/main/java/tillerlink/messages/channels/EntryCodec.java
+++ b/messages/src/main/java/tillerlink/messages/channels/EntryCodec.java
@@ -6,7 +6,9 @@
 import tillerlink.messages.FieldWriter;
 import tillerlink.messages.MalformedMessageException;
 
-/** Events and steps as bytes. An event carries a sum over its bytes, so that a garbled one is never taken for another. */
+/**
+ * Events and steps as bytes. An event carries a sum over its bytes, so that a garbled one is never taken for another.
+ */
 public final class EntryCodec {
     /** No event is longer; one goes in a message that every link carries. */
     public static final int ENTRY_MOST = 1000;
@@ -116,8 +118,8 @@
         if (incarnation <= 0 || sequence <= 0 || stamp <= 0 || texts[1].isEmpty() || texts[6].isEmpty()) {
             throw new MalformedMessageException("an event without a name");
         }
-        return new Entry(texts[1].intern(), texts[2].intern(), incarnation, sequence, stamp, texts[6].intern(), KINDS[kind],
-                texts[8], texts[9], airsAt, texts[11], List.copyOf(over), List.copyOf(seen));
+        return new Entry(texts[1].intern(), texts[2].intern(), incarnation, sequence, stamp, texts[6].intern(),
+                KINDS[kind], texts[8], texts[9], airsAt, texts[11], List.copyOf(over), List.copyOf(seen));
     }
 
     private static void add(List<Dot> dots, Dot dot) throws MalformedMessageException {
--- a/operator/src/main/java/tillerlink/operator/Channels.java
+++ b/operator/src/main/java/tillerlink/operator/Channels.java
@@ -13,8 +13,8 @@
  * @param diskMost    bytes on disk, of all channels together
  * @param most        channels at once
  */
-public record Channels(List<String> sites, List<String> voters, long absentAfter, long aheadMost, long memoryMost, long diskMost,
-                       int most) {
+public record Channels(List<String> sites, List<String> voters, long absentAfter, long aheadMost, long memoryMost,
+                       long diskMost, int most) {
     private static final int SITES_MOST = 64;
     private static final String FIRST = "-1";
 
--- a/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
+++ b/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
@@ -199,8 +199,8 @@
         OperatorFile file = OperatorFile.read(Path.of("../deploy/operator.hcl"));
         assertEquals(new Members("newsroom", "north", "10.1.0.7:7400", List.of("10.1.0.7:7400", "10.2.0.7:7400"),
                 "/etc/tillerlink/fleet.secret", Map.of("south-1", "10.9.0.2:7400"), 5000), file.members());
-        assertEquals(new Channels(List.of("north", "south", "studio"), List.of("north-1", "south-1", "studio-1"), 3_000_000, 600_000, 64L << 20, 1L << 30, 64),
-                file.channels());
+        assertEquals(new Channels(List.of("north", "south", "studio"), List.of("north-1", "south-1", "studio-1"),
+                3_000_000, 600_000, 64L << 20, 1L << 30, 64), file.channels());
         assertEquals(new Statements(List.of("north-1", "north-2", "south-1"), 30_000, 0.01, false), file.statements());
     }
 
--- a/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
+++ b/statements/src/main/java/tillerlink/statements/consensus/Homecoming.java
@@ -84,7 +84,9 @@
         });
     }
 
-    /** What was known of that voter's starts before this one; the same for a repeat, as the first answer may be lost. */
+    /**
+     * What was known of that voter's starts before this one; the same for a repeat, as the first answer may be lost.
+     */
     long knownBefore(int place, Hello hello, long known) {
         Greeting last = greetings.get(place);
         if (last == null || last.nonce != hello.nonce()) {
--- a/virtual/src/main/java/tillerlink/virtual/VirtualFleet.java
+++ b/virtual/src/main/java/tillerlink/virtual/VirtualFleet.java
@@ -10,8 +10,8 @@
 import tillerlink.peers.Post;
 
 /**
- * A fleet in virtual time: parts that are fed messages and time, and links between them that misbehave as told. One seed,
- * one history: events of one moment happen in the order in which they were planned.
+ * A fleet in virtual time: parts that are fed messages and time, and links between them that misbehave as told. One
+ * seed, one history: events of one moment happen in the order in which they were planned.
  */
 public final class VirtualFleet {
     /** What waits for a host that is paused, as a socket's buffer would hold it. */
