--- a/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
+++ b/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
@@ -23,6 +23,8 @@
  */
 public final class Fetcher {
     private static final long PATIENCE = 6000;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long OVERTAKEN = 20;
     private static final long REST = 10_000;
     private static final long STEPS_AGAIN = 2000;
     private static final long HEARD_FOR = 60_000;
@@ -44,6 +46,8 @@
         long stepsAskedAt = Long.MIN_VALUE / 2;
         boolean heardSince;
         int taken;
+        long sentAt;
+        long lateUntil = NEVER;
         long restUntil = Long.MIN_VALUE;
     }
 
@@ -98,19 +102,40 @@
         source.heardSince = true;
         source.taken += taken;
         if (piece.last()) {
-            source.restUntil = source.taken == 0 ? now + REST : now;
-            source.number = 0;
-            source.asked = List.of();
-            source.window = Math.min(WINDOW_MOST, source.window * 2);
+            // Earlier pieces may still be on their way, overtaken by this one: as long as this one took, they may take.
+            source.lateUntil = now + Math.max(OVERTAKEN, now - source.sentAt);
         }
+        if (source.lateUntil != NEVER && allHeld(source)) {
+            done(now, source);
+        }
+    }
+
+    private boolean allHeld(Source source) {
+        for (Span span : source.asked) {
+            if (!journal.held().hasAll(span)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void done(long now, Source source) {
+        source.restUntil = source.taken == 0 ? now + REST : now;
+        source.number = 0;
+        source.asked = List.of();
+        source.lateUntil = NEVER;
+        source.window = Math.min(WINDOW_MOST, source.window * 2);
     }
 
     /** Asks for what is missing and not asked for. */
     public void turn(long now) {
         for (Map.Entry<String, Source> each : sources.entrySet()) {
             Source source = each.getValue();
-            if (source.number != 0 && now - source.askedAt > PATIENCE) {
+            if (source.number != 0 && source.lateUntil != NEVER && now >= source.lateUntil) {
+                done(now, source);
+            } else if (source.number != 0 && now - source.askedAt > PATIENCE) {
                 again++;
+                source.lateUntil = NEVER;
                 source.number = 0;
                 source.asked = List.of();
                 source.window = Math.max(WINDOW_LEAST, source.window / (source.heardSince ? 2 : 4));
@@ -137,6 +162,7 @@
             if (!wanted.isEmpty()) {
                 source.number = ++numbers;
                 source.askedAt = now;
+                source.sentAt = now;
                 source.asked = wanted;
                 source.heardSince = false;
                 source.taken = 0;
@@ -230,7 +256,7 @@
         long due = Long.MAX_VALUE;
         for (Source source : sources.values()) {
             if (source.number != 0) {
-                due = Math.min(due, source.askedAt + PATIENCE + 1);
+                due = Math.min(due, Math.min(source.askedAt + PATIENCE + 1, source.lateUntil));
             }
         }
         return due;
