--- a/channels/src/test/java/tillerlink/channels/Fleet.java
+++ b/channels/src/test/java/tillerlink/channels/Fleet.java
@@ -242,6 +242,24 @@
         }
     }
 
+    /** Whether every gateway shows the same events, all stable. */
+    boolean isSettled() {
+        java.util.Set<String> all = new java.util.HashSet<>();
+        for (String name : names) {
+            StringBuilder here = new StringBuilder();
+            Channels channels = running.get(name);
+            for (String channel : channels.names()) {
+                Page page = channels.read(channel, 0, ALL);
+                if (page.stable() != page.first() + page.lines().size()) {
+                    return false;
+                }
+                page.lines().forEach(line -> here.append(line.entry().dot().text()).append(' '));
+            }
+            all.add(here.toString());
+        }
+        return all.size() == 1;
+    }
+
     List<String> shuffled() {
         List<String> mixed = new ArrayList<>(names);
         Collections.shuffle(mixed, random);
