--- a/members/src/main/java/tillerlink/members/Asking.java
+++ b/members/src/main/java/tillerlink/members/Asking.java
@@ -137,9 +137,9 @@
     }
 
     @Override
-    public boolean again(Try about) {
+    public boolean suspected(Try about) {
         Entry entry = core.table.get(about.name());
-        return entry != null && entry.standing() == Standing.ALIVE;
+        return entry == null || entry.standing() != Standing.ALIVE;
     }
 
     @Override
--- a/members/src/main/java/tillerlink/members/probe/Health.java
+++ b/members/src/main/java/tillerlink/members/probe/Health.java
@@ -7,6 +7,9 @@
  * it had to make, pauses. The worse, the longer it waits before it accuses anybody.
  */
 public final class Health {
+    /** At that score waits are twice as long. */
+    private static final int STRETCH = 4;
+
     private final int most;
     private int score;
 
@@ -30,6 +33,11 @@
     }
 
     public long stretched(long wait) {
-        return wait * (score + 1);
+        return wait * (score + STRETCH) / STRETCH;
+    }
+
+    /** That many rounds of questions more before anybody is accused. */
+    public int moreRounds() {
+        return score / 2;
     }
 }
--- a/members/src/main/java/tillerlink/members/probe/Probes.java
+++ b/members/src/main/java/tillerlink/members/probe/Probes.java
@@ -25,8 +25,8 @@
         /** @return how many were asked */
         int askOthers(Try about);
 
-        /** Whether all is to be done once more before somebody is accused. */
-        boolean again(Try about);
+        /** Whether others accuse it already. */
+        boolean suspected(Try about);
 
         /** Only others got an answer. */
         void onlyOthers(Try about);
@@ -35,6 +35,9 @@
     }
 
     private static final int STEPS_EACH_ROUND = 3;
+    private static final int ROUNDS_MOST = 6;
+    /** Local health gets worse by no more for one question. */
+    private static final int SILENT_MOST = 2;
 
     private final Periods periods;
     private final Health health;
@@ -175,7 +178,7 @@
     /** The first of a round, or the end of the one before. */
     private void ask(Try about, long now, int waits) {
         boolean first = about.step == 0;
-        if (!first && (about.vouched || about.step >= 2 * STEPS_EACH_ROUND || !steps.again(about))) {
+        if (!first && (about.vouched || about.step >= rounds(about) * STEPS_EACH_ROUND)) {
             end(about, now);
             return;
         }
@@ -183,6 +186,11 @@
         next(about, now, waits);
     }
 
+    /** Rounds in all before it is accused; whoever does not do well itself asks more often. */
+    private int rounds(Try about) {
+        return Math.min(ROUNDS_MOST, (steps.suspected(about) ? 1 : 2) + health.moreRounds());
+    }
+
     private void stepOfOthers(Try about, long now) {
         if (about.step > 1) {
             finish(about, now);
@@ -216,7 +224,7 @@
         }
         // Others who say that they got no answer either are heard: then it is not this process that hears nothing.
         int silent = about.relays - about.refusals;
-        health.worse(about.relays == 0 ? 1 : Math.max(0, Math.min(2, silent)));
+        health.worse(about.relays == 0 ? 1 : Math.max(0, Math.min(SILENT_MOST, silent)));
         steps.missed(about);
     }
 
--- a/members/src/main/java/tillerlink/members/probe/Try.java
+++ b/members/src/main/java/tillerlink/members/probe/Try.java
@@ -19,7 +19,7 @@
     }
 
     /** Each time it is sent it has a number of its own, so that an answer shows which one it is to. */
-    static final long SENDS = 8;
+    static final long SENDS = 32;
 
     final Kind kind;
     final long number;
--- a/members/src/test/java/tillerlink/members/measure/MeasureMembers.java
+++ b/members/src/test/java/tillerlink/members/measure/MeasureMembers.java
@@ -18,7 +18,7 @@
  */
 class MeasureMembers {
     private static final Set<String> ONLY = Set.of(System.getProperty("tables",
-            "detection,pauses,bytes,heal,memory,others").split(","));
+            "detection,pauses,starved,bytes,heal,memory,others").split(","));
     private static final int BIG = Integer.getInteger("big", 1000);
 
     private static final double[] LOST = Stream.of(System.getProperty("lost", "0,0.05,0.2,0.3").split(","))
@@ -58,6 +58,9 @@
         if (ONLY.contains("pauses")) {
             pauses();
         }
+        if (ONLY.contains("starved")) {
+            starved();
+        }
         if (ONLY.contains("bytes")) {
             bytes();
         }
@@ -181,6 +184,34 @@
                 100 * counts[2] / all / (size - many), back.seconds(0.5), back.seconds(1), counts[3]));
     }
 
+    // ---- one that starves: what it sends and gets is lost more often than not ----
+
+    private static void starved() {
+        say("\n| members | of 1 the messages lost | local health | others suspected, an hour | others given up, an hour |");
+        say("|---|---|---|---|---|");
+        for (double lost : new double[] {0.5, 0.7, 0.85}) {
+            for (boolean health : new boolean[] {true, false}) {
+                long[] counts = new long[2];
+                int minutes = 30;
+                Play play = fleet(30, 3, periods(health));
+                String one = names(30)[5];
+                for (String other : names(30)) {
+                    play.fleet.between(Play.at(one), Play.at(other), Fault.lossy(lost));
+                }
+                // Counted by whom it befell, not by each who was told of it.
+                play.heard = change -> {
+                    if (!change.of().equals(one) && change.by().equals(one)) {
+                        counts[0] += change.is() == Reach.SUSPECTED ? 1 : 0;
+                        counts[1] += change.is() == Reach.GONE ? 1 : 0;
+                    }
+                };
+                play.fleet.playFor(minutes * 60 * Play.SECOND);
+                say(String.format("| 30 | %.0f%% | %s | %d | %d |", lost * 100, health ? "on" : "off",
+                        counts[0] * 60 / minutes, counts[1] * 60 / minutes));
+            }
+        }
+    }
+
     // ---- bytes ----
 
     private static void bytes() {
