--- a/storm/src/main/java/tillerlink/storm/Storm.java
+++ b/storm/src/main/java/tillerlink/storm/Storm.java
@@ -55,7 +55,7 @@
             System.exit(2);
         }
         Storm storm = new Storm(Files.createTempDirectory("storm"), Plan.Shared.valueOf(
-                System.getProperty("storm.parts", "MEMBERS")), System.out);
+                System.getProperty("storm.parts", "STATEMENTS")), System.out);
         boolean quiet = storm.go(Long.parseLong(args[0]), Double.parseDouble(args[1]), args.length > 2);
         System.exit(quiet ? 0 : 1);
     }
