Let a voter with a lost disk vote only once it holds again all that was agreed on

Else what was on its disk is on too few others when the next disk is lost; a history found a step that nobody could put in place any more. What is believed of the fleet's time no longer jumps with the own clock.

--- a/channels/src/main/java/tillerlink/channels/Channels.java
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -361,7 +361,7 @@
         Invariant.holds(digest == null || digest == report.digest(),
                 () -> "stable events up to step " + report.applied() + " differ between " + roster.self()
                         + " and " + from);
-        stamps.heard(now, wall, from, report.wall());
+        stamps.heard(now, from, report.wall());
         standings.take(now, report.own());
         report.others().forEach(other -> {
             if (!other.gateway().equals(roster.self())) {
--- a/channels/src/main/java/tillerlink/channels/agree/Agreement.java
+++ b/channels/src/main/java/tillerlink/channels/agree/Agreement.java
@@ -200,7 +200,7 @@
 
     private void ask(long now) {
         List<String> voters = journal.voters();
-        if (witnesses.enough(voters, journal.decided())) {
+        if (witnesses.enough(voters, journal.applied())) {
             witnesses.answers().forEach(it -> voting.recall(it.promised(), it.acceptedIn(), it.accepted()));
             voting.knowsNow();
             askedAt = now - ASK_AGAIN - 1;
--- a/channels/src/main/java/tillerlink/channels/entry/Stamps.java
+++ b/channels/src/main/java/tillerlink/channels/entry/Stamps.java
@@ -14,7 +14,7 @@
     private static final long HEARD_FOR = 100_000;
     private static final int GATEWAYS_MOST = 1024;
 
-    private record Heard(long at, long ahead) {
+    private record Heard(long at, long beyond) {
     }
 
     private final long aheadMost;
@@ -26,21 +26,21 @@
         this.aheadMost = aheadMost;
     }
 
-    /** A gateway said what its wall clock shows, in milliseconds. */
-    public void heard(long now, long wall, String gateway, long theirs) {
+    /** A gateway said what its wall clock shows, in milliseconds. Held by the clock that never jumps, so the own may. */
+    public void heard(long now, String gateway, long theirs) {
         if (walls.size() < GATEWAYS_MOST || walls.containsKey(gateway)) {
-            walls.put(gateway, new Heard(now, theirs - wall / 10));
+            walls.put(gateway, new Heard(now, theirs - now / 10));
         }
     }
 
     /** Milliseconds since 1970, as most of those heard of late have it. */
     public long believed(long now, long wall) {
         walls.values().removeIf(heard -> now - heard.at > HEARD_FOR);
-        List<Long> ahead = new ArrayList<>();
-        ahead.add(0L);
-        walls.values().forEach(heard -> ahead.add(heard.ahead));
-        ahead.sort(null);
-        return wall / 10 + ahead.get((ahead.size() - 1) / 2);
+        List<Long> beyond = new ArrayList<>();
+        beyond.add(wall / 10 - now / 10);
+        walls.values().forEach(heard -> beyond.add(heard.beyond));
+        beyond.sort(null);
+        return now / 10 + beyond.get((beyond.size() - 1) / 2);
     }
 
     /** Whether a stamp is further ahead than may be. */
--- a/channels/src/main/java/tillerlink/channels/epoch/Witnesses.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Witnesses.java
@@ -41,10 +41,11 @@
     }
 
     /**
-     * @param decided what this process knows by now to be decided; an answer from beyond it does not count yet
+     * @param applied up to where this process holds everything; while anyone told of more, it is not enough: a voter that
+     *                counted as recovered before would leave what was on its disk on too few others
      * @return true the first time that enough have answered
      */
-    public boolean enough(List<String> voters, long decided) {
+    public boolean enough(List<String> voters, long applied) {
         if (done) {
             return false;
         }
@@ -57,12 +58,12 @@
             Answer answer = answers.get(other);
             if (answer != null) {
                 answered++;
-                behind |= answer.decided() > decided;
+                behind |= answer.decided() > applied;
                 know += answer.knows() ? 1 : 0;
                 nothing += answer.knows() ? 0 : 1;
             }
         }
-        boolean founding = answered == others.size() && (nothing == answered || decided == 0);
+        boolean founding = answered == others.size() && (nothing == answered || applied == 0);
         done = !behind && (know > others.size() / 2 || others.isEmpty() || founding);
         return done;
     }
--- a/channels/src/main/java/tillerlink/channels/quota/Room.java
+++ b/channels/src/main/java/tillerlink/channels/quota/Room.java
@@ -6,7 +6,7 @@
 /**
  * How much there is room for, and whose. Half of the room is for events that are not agreed on yet, as those can't be
  * compacted; each gateway may fill an equal part of it, so that all of them together fit in after a cut. When that
- * part runs short, only channels that hold more than their equal share of it are refused.
+ * part is half full, only channels that hold more than their equal share of it are refused, one more channel counted.
  */
 public final class Room {
     /** Asking again sooner is of no use: nothing is agreed on any faster. */
@@ -38,6 +38,6 @@
                 channels++;
             }
         }
-        return all <= part && (all <= part / 2 || own <= part / channels);
+        return all <= part && (all <= part / 2 || own <= part / (channels + 1));
     }
 }
