--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD = $(shell sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 POLICY = $(shell sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
 
-.PHONY: demo build tools storm bench classes test lint run
+.PHONY: members-tables demo build tools storm bench classes test lint run
 build:
 	$(BUILD)
 
@@ -53,3 +53,8 @@
 
 run: build
 	EDGE_CONFIG=$(CONFIG) sh -c '$(RUN)'
+
+# The tables of docs/members-design.md, from virtual time; ONLY=detection,pauses,starved,bytes,heal,memory,others plays some.
+ONLY ?= detection,pauses,starved,bytes,heal,memory,others
+members-tables:
+	mvn -q -pl members -am test -Dtest=MeasureMembers -Dsurefire.failIfNoSpecifiedTests=false -DargLine="-Dtables=$(ONLY)"
--- a/members/src/test/java/tillerlink/members/MembersTest.java
+++ b/members/src/test/java/tillerlink/members/MembersTest.java
@@ -22,17 +22,14 @@
             play.startAll(names(size));
             long joined = play.untilAgreed(20 * Play.SECOND);
             assertTrue(joined >= 0, "joined");
-            System.out.println(size + " joined in " + joined / 10 + " ms");
             play.fleet.playFor(20 * Play.SECOND);
             assertTrue(play.agreed());
             assertTrue(play.changes.stream().noneMatch(change -> change.is() != Reach.REACHABLE), play.changes::toString);
             play.kill("g001");
             long found = play.untilAgreed(30 * Play.SECOND);
-            System.out.println(size + " found in " + found / 10 + " ms");
             assertTrue(found >= 0, play.changes::toString);
             play.start("g001", Play.at("g000"));
             long back = play.untilAgreed(30 * Play.SECOND);
-            System.out.println(size + " back in " + back / 10 + " ms");
             assertTrue(back >= 0, play.changes::toString);
         }
     }
