--- a/channels/src/main/java/tillerlink/channels/Channels.java
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -50,6 +50,7 @@
     private static final long REPORT_BUSY = 2500;
     private static final long REPORT_IDLE = 10_000;
     private static final int REPORT_SPANS = 32;
+    private static final int SHORT_SPANS = 3;
     private static final int REPORT_OTHERS = 8;
     private static final int NAME_MOST = 64;
     private static final long LOG_LEAST = 100_000;
@@ -83,6 +84,7 @@
     private long reportedAt = Long.MIN_VALUE / 2;
     private long now;
     private long wall;
+    private boolean isShort = true;
     private long refusedAhead;
     private long malformed;
     private long ownTakenBack;
@@ -373,7 +375,9 @@
 
     /** One that started anew and lacks what it had said to hold of its own: its disk is lost, or an old copy. */
     private void restarted(String from, Standing before, Report report) {
-        if (before.top() == 0) {
+        int told = report.extra().size();
+        if (before.top() == 0 || told == SHORT_SPANS || told >= REPORT_SPANS) {
+            // It holds more than it told: nothing can be said.
             return;
         }
         tillerlink.channels.journal.Holdings theirs = new tillerlink.channels.journal.Holdings();
@@ -500,13 +504,16 @@
 
     private void report() {
         reportedAt = now;
+        // Every other one is short, for links that carry small messages only.
+        isShort = !isShort;
+        int spans = isShort ? SHORT_SPANS : REPORT_SPANS;
         List<Span> extra = new ArrayList<>(journal.extra().spans());
-        if (extra.size() > REPORT_SPANS) {
+        if (extra.size() > spans) {
             java.util.Collections.rotate(extra, random.nextInt(extra.size()));
-            extra = extra.subList(0, REPORT_SPANS);
+            extra = extra.subList(0, spans);
         }
         Report report = new Report(wall / 10, standing(), journal.applied(), journal.decided(), journal.base(),
-                journal.digest(), extra, standings.freshest(REPORT_OTHERS));
+                journal.digest(), extra, isShort ? List.of() : standings.freshest(REPORT_OTHERS));
         wire.spread(report, journal.voters());
     }
 
--- a/channels/src/main/java/tillerlink/channels/entry/Stamps.java
+++ b/channels/src/main/java/tillerlink/channels/entry/Stamps.java
@@ -26,7 +26,7 @@
         this.aheadMost = aheadMost;
     }
 
-    /** A gateway said what its wall clock shows, in milliseconds. Held by the clock that never jumps, so the own may. */
+    /** A gateway said what its wall clock shows, in milliseconds. Held by the clock that never jumps. */
     public void heard(long now, String gateway, long theirs) {
         if (walls.size() < GATEWAYS_MOST || walls.containsKey(gateway)) {
             walls.put(gateway, new Heard(now, theirs - now / 10));
--- a/channels/src/main/java/tillerlink/channels/epoch/Witnesses.java
+++ b/channels/src/main/java/tillerlink/channels/epoch/Witnesses.java
@@ -41,8 +41,8 @@
     }
 
     /**
-     * @param applied up to where this process holds everything; while anyone told of more, it is not enough: a voter that
-     *                counted as recovered before would leave what was on its disk on too few others
+     * @param applied up to where this process holds everything; while anyone told of more, it is not enough: a
+     *                voter that counted as recovered before would leave what was on its disk on too few others
      * @return true the first time that enough have answered
      */
     public boolean enough(List<String> voters, long applied) {
--- a/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
+++ b/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
@@ -18,17 +18,20 @@
 
 /**
  * Gets what is missing here: it asks each gateway that has it for a bounded amount, and for each event only one at a time.
- * What does not come is asked for again, of anyone. Fresh events are sent by their writers at once and wait for none of
- * this.
+ * What does not come is asked for again, of anyone. Fresh events are sent by their writers at once and wait for none
+ * of this.
  */
 public final class Fetcher {
     private static final long PATIENCE = 6000;
     private static final long NEVER = Long.MAX_VALUE;
+    private static final int PIECE_LEAST = 180;
+    private static final int GOOD_TO_GROW = 16;
     private static final long OVERTAKEN = 20;
     private static final long REST = 10_000;
     private static final long STEPS_AGAIN = 2000;
     private static final long HEARD_FOR = 60_000;
     private static final int SPANS_MOST = 40;
+    private static final int SPAN_BYTES = 25;
     private static final int CUTS_LOOKED_AT = 500;
     private static final int WINDOW_LEAST = 8;
     private static final int WINDOW_MOST = 2048;
@@ -43,9 +46,11 @@
         long askedAt;
         List<Span> asked = List.of();
         int window = 64;
+        int pieceBytes = Post.BYTES_EASY;
         long stepsAskedAt = Long.MIN_VALUE / 2;
         boolean heardSince;
         int taken;
+        int goodInARow;
         long sentAt;
         long lateUntil = NEVER;
         long restUntil = Long.MIN_VALUE;
@@ -125,6 +130,10 @@
         source.asked = List.of();
         source.lateUntil = NEVER;
         source.window = Math.min(WINDOW_MOST, source.window * 2);
+        if (source.taken > 0 && ++source.goodInARow >= GOOD_TO_GROW) {
+            source.goodInARow = 0;
+            source.pieceBytes = Math.min(Post.BYTES_EASY, source.pieceBytes * 2);
+        }
     }
 
     /** Asks for what is missing and not asked for. */
@@ -135,10 +144,15 @@
                 done(now, source);
             } else if (source.number != 0 && now - source.askedAt > PATIENCE) {
                 again++;
+                source.goodInARow = 0;
                 source.lateUntil = NEVER;
                 source.number = 0;
                 source.asked = List.of();
                 source.window = Math.max(WINDOW_LEAST, source.window / (source.heardSince ? 2 : 4));
+                if (!source.heardSince) {
+                    // The link may carry small messages only.
+                    source.pieceBytes = Math.max(PIECE_LEAST, source.pieceBytes / 2);
+                }
             }
         }
         for (Map.Entry<String, Source> each : sources.entrySet()) {
@@ -163,10 +177,11 @@
                 source.number = ++numbers;
                 source.askedAt = now;
                 source.sentAt = now;
+                wanted = wanted.subList(0, Math.min(wanted.size(), source.pieceBytes / SPAN_BYTES));
                 source.asked = wanted;
                 source.heardSince = false;
                 source.taken = 0;
-                wire.send(of, new Want(source.number, Post.BYTES_EASY, source.window, wanted));
+                wire.send(of, new Want(source.number, source.pieceBytes, source.window, wanted));
             }
         }
     }
--- a/channels/src/test/java/tillerlink/channels/RoomTest.java
+++ b/channels/src/test/java/tillerlink/channels/RoomTest.java
@@ -136,6 +136,21 @@
         assertEquals(List.of(), fleet.violations);
     }
 
+    @Test
+    void piecesShrinkForALinkThatCarriesStillLess() {
+        Fleet fleet = fleet(64 << 20, 1000);
+        fleet.cut(List.of("w1"));
+        for (int i = 0; i < 300; i++) {
+            fleet.append("w1", "news", Fleet.cue("c" + i % 7, "from the west " + i));
+            fleet.net.playFor(100);
+        }
+        fleet.net.heal();
+        fleet.net.usual(Fault.small(280));
+        fleet.net.playFor(60 * Fleet.SECOND);
+        fleet.audit(Set.of());
+        assertEquals(List.of(), fleet.violations);
+    }
+
     @Test
     void aClockThatIsAheadIsRefusedAndSaid() {
         Fleet fleet = fleet(64 << 20, 1000);
