--- a/peering/src/test/java/tillerlink/peering/Gateways.java
+++ b/peering/src/test/java/tillerlink/peering/Gateways.java
@@ -23,6 +23,7 @@
 import tillerlink.channels.Terms;
 import tillerlink.net.life.Node;
 import tillerlink.peering.channels.ChannelsPart;
+import tillerlink.peering.statements.StatementsAttaching;
 
 /** Gateways as processes of their own, on loopback, for tests; none of them knows an engine. */
 final class Gateways implements AutoCloseable {
@@ -58,7 +59,8 @@
                 : args[4].getBytes(StandardCharsets.UTF_8), Map.of(), 2000, Path.of(args[3]), 1 << 20);
         new Node().serve(System.getenv(), Policy::new, null, assignment -> null,
                 Peering.factory(sharing, List.of(new Echo(),
-                new ChannelsPart(Terms.of(List.of("n1", "n2", "n3"))))));
+                new ChannelsPart(Terms.of(List.of("n1", "n2", "n3"))),
+                new StatementsAttaching(List.of("n1", "n2", "n3"), 20_000, 0.01, false, false))));
         System.exit(0);
     }
 
--- a/statements/src/main/java/tillerlink/statements/Statements.java
+++ b/statements/src/main/java/tillerlink/statements/Statements.java
@@ -234,7 +234,8 @@
         long until = Long.MAX_VALUE;
         for (Map.Entry<Integer, Long> each : prepared.versions().entrySet()) {
             long end = holding.heldUntil(each.getKey(), each.getValue()) - terms.lease().margin();
-            if (end <= at) {
+            // None is begun under a change that is announced, though the lease may go on: hops that are out must end.
+            if (end <= at || catalog.blocked(each.getKey())) {
                 return withoutLease(at, each.getKey());
             }
             until = Math.min(until, end);
--- a/statements/src/main/java/tillerlink/statements/lease/Holding.java
+++ b/statements/src/main/java/tillerlink/statements/lease/Holding.java
@@ -27,6 +27,7 @@
     /** Leases are asked for so long after a group was last wanted. */
     private static final long WANTED = 6_000_000;
     private static final long SOON = 500;
+    private static final long GIVE_AGAIN = 1500;
     /** The end of a lease that isn't held; far from where sums would run over. */
     private static final long NONE = Long.MIN_VALUE / 4;
 
@@ -43,6 +44,9 @@
         long wantedAt;
         int running;
         boolean held;
+        /** When it is given back once more, as word of it may have been lost; and up to when. */
+        long giveAgainAt = Long.MAX_VALUE;
+        long giveUntil;
 
         Group(int voters) {
             grants = new Granted[voters];
@@ -185,6 +189,14 @@
             } else if (holds && it.running == 0 && catalog.blocked(group)) {
                 Arrays.fill(it.grants, null);
                 some.add(group);
+                it.giveAgainAt = now + GIVE_AGAIN;
+                it.giveUntil = now + lease.length();
+            } else if (now >= it.giveAgainAt) {
+                boolean again = !holds && catalog.blocked(group) && now < it.giveUntil;
+                it.giveAgainAt = again ? now + GIVE_AGAIN : Long.MAX_VALUE;
+                if (again) {
+                    some.add(group);
+                }
             }
         });
         if (!some.isEmpty()) {
@@ -220,7 +232,8 @@
     }
 
     public long dueAt() {
-        return groups.isEmpty() ? Long.MAX_VALUE : Math.min(askAt, endsNext);
+        return groups.values().stream().mapToLong(it -> it.giveAgainAt).reduce(
+                groups.isEmpty() ? Long.MAX_VALUE : Math.min(askAt, endsNext), Math::min);
     }
 
     public void granted(long now, String from, Lease answer) {
--- a/statements/src/test/java/tillerlink/statements/Town.java
+++ b/statements/src/test/java/tillerlink/statements/Town.java
@@ -51,6 +51,7 @@
     boolean vouched;
     long leaseLength = 10 * 1000;
     private int starts;
+    private long diskTakes = 5;
 
     Town(long seed, int voterCount, int others, Plant... plants) {
         random = new SplittableRandom(seed);
@@ -171,6 +172,11 @@
 
             @Override
             public boolean set(String key, byte[] value, Runnable kept) {
+                if (diskTakes > 5 && value != null) {
+                    // Handed over, and not kept for long.
+                    fleet.at(fleet.now() + diskTakes, () -> disk.set(key, value, kept));
+                    return true;
+                }
                 return disk.set(key, value, () -> {
                     kept.run();
                     if (gateways.get(name) == gateway) {
@@ -198,6 +204,18 @@
         }
     }
 
+    /** With nothing of what its disk had not kept yet. */
+    void crash(String name) {
+        gateways.remove(name);
+        disks.get(name).crash(0);
+        fleet.kill(name);
+    }
+
+    /** From now on what a disk is handed is kept so much later. */
+    void slowDisks(long later) {
+        diskTakes = later;
+    }
+
     boolean isUp(String name) {
         return gateways.containsKey(name);
     }
