Lose a datagram rather than the process when MINA's session is not ready yet

A storm on a busy machine found a process that ended with 70 right after its start: MINA's thread had begun a session for an address that the gateway wrote to in the same moment (; NullPointerException in Datagrams.send). Such a datagram is counted and lost. The race lies within MINA, so no test brings it about at will; the storm is what shows it.

--- a/peering/src/main/java/tillerlink/peering/io/Datagrams.java
+++ b/peering/src/main/java/tillerlink/peering/io/Datagrams.java
@@ -36,6 +36,7 @@
     private final Addresses addresses = new Addresses();
     private final AtomicInteger waiting = new AtomicInteger();
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong unsent = new AtomicLong();
 
     /**
      * Listens from now on.
@@ -71,7 +72,13 @@
         if (address == null || !socket.isActive()) {
             return false;
         }
-        socket.newSession(address, own).write(IoBuffer.wrap(datagram));
+        try {
+            socket.newSession(address, own).write(IoBuffer.wrap(datagram));
+        } catch (RuntimeException e) {
+            // MINA's own thread makes a session for whoever a datagram came from, and lets it be found before it is
+            // ready: what is written in that moment is lost, like any that is lost on the way.
+            unsent.incrementAndGet();
+        }
         return true;
     }
 
@@ -80,6 +87,11 @@
         return dropped.get();
     }
 
+    /** Datagrams that could not be handed to the socket. */
+    public long unsent() {
+        return unsent.get();
+    }
+
     @Override
     public void close() {
         socket.dispose();
