--- a/peering/src/main/java/tillerlink/peering/part/Attached.java
+++ b/peering/src/main/java/tillerlink/peering/part/Attached.java
@@ -21,8 +21,8 @@
     void called(long now, long wall, HttpCall call, Side.Reply reply);
 
     /**
-     * At the end of every turn, so ten times a second at the least: calls that the machine settled, or whose time is up,
-     * are answered.
+     * At the end of every turn, so ten times a second at the least: calls that the machine settled, or whose time is
+     * up, are answered.
      */
     default void settled(long now, long wall) {
         // Whoever answers at once has nothing to do.
--- a/peering/src/main/java/tillerlink/peering/statements/StatementsAttaching.java
+++ b/peering/src/main/java/tillerlink/peering/statements/StatementsAttaching.java
@@ -17,7 +17,9 @@
 /** Makes the part of prepared statements on a gateway. */
 public final class StatementsAttaching implements Attaching {
     private static final Logger LOG = LoggerFactory.getLogger(StatementsAttaching.class);
-    /** Bytes on the disk at the most: a snapshot, the entries behind it, and both once more while they are rewritten. */
+    /**
+     * Bytes on the disk at the most: a snapshot, the entries behind it, and both once more while they are rewritten.
+     */
     public static final long KEEP_MOST = 16L << 20;
     private static final long MARGIN_LEAST = 50;
     /** A part of the lease that has to be ahead of a run. */
--- a/virtual/src/main/java/tillerlink/virtual/Seeds.java
+++ b/virtual/src/main/java/tillerlink/virtual/Seeds.java
@@ -6,9 +6,9 @@
 import java.util.stream.LongStream;
 
 /**
- * Plays seeded histories that share nothing, several at once, and tells what came of them in the order of their seeds: the
- * same seeds give the same words, on however many cores. {@code -Dhistories.seed=N} plays that one alone and prints its
- * trace, {@code -Dhistories.count=N} plays another number, {@code -Dhistories.first=N} begins elsewhere.
+ * Plays seeded histories that share nothing, several at once, and tells what came of them in the order of their seeds:
+ * the same seeds give the same words, on however many cores. {@code -Dhistories.seed=N} plays that one alone and prints
+ * its trace, {@code -Dhistories.count=N} plays another number, {@code -Dhistories.first=N} begins elsewhere.
  */
 public final class Seeds {
     private static final long ONE = Long.getLong("histories.seed", -1);
@@ -50,8 +50,8 @@
         wrong.stream().filter(came -> ONE < 0).limit(TRACES_MOST)
                 .forEach(came -> System.out.println("seed " + came.seed + ": " + came.wrong + "\n" + came.trace));
         if (!wrong.isEmpty()) {
-            throw new AssertionError(wrong.size() + " of " + many + " histories of " + what + " went wrong; play one again by "
-                    + "-Dhistories.seed=N: " + wrong.stream().limit(NAMED_MOST)
+            throw new AssertionError(wrong.size() + " of " + many + " histories of " + what + " went wrong; play one"
+                    + " again by -Dhistories.seed=N: " + wrong.stream().limit(NAMED_MOST)
                     .map(came -> "\nseed " + came.seed + ": " + came.wrong).reduce("", String::concat));
         }
         long[] sums = new long[1 + all.get(0).sums.length];
@@ -66,7 +66,8 @@
         try {
             wrong = seeded.play();
         } catch (RuntimeException | AssertionError e) {
-            wrong = e + Arrays.stream(e.getStackTrace()).limit(4).map(at -> "\n    at " + at).reduce("", String::concat);
+            wrong = e + Arrays.stream(e.getStackTrace()).limit(4).map(at -> "\n    at " + at)
+                    .reduce("", String::concat);
         }
         return new Came(seed, wrong, wrong == null && ONE < 0 ? "" : seeded.trace(), seeded.sums());
     }
