--- a/storm/src/main/java/tillerlink/storm/play/Play.java
+++ b/storm/src/main/java/tillerlink/storm/play/Play.java
@@ -43,7 +43,12 @@
             audit.ran(engine, new String(command.statement(), StandardCharsets.UTF_8));
             StatementLoad.sent(audit, engine, command);
         })) {
-            rig.start();
+            try {
+                rig.start();
+            } catch (IOException e) {
+                audit.broken(Rule.INSIDE, e.getMessage());
+                return new Played(schedule, audit.breaches(), Map.of(), 0, 0, 0, audit.violations());
+            }
             Lives lives = new Lives();
             ChannelLoad channels = new ChannelLoad(rig, audit, disturbed, lives, schedule.seed());
             List<Load> loads = new ArrayList<>(List.of(new SubmissionLoad(rig, audit, disturbed, schedule.seed())));
