--- a/peering/src/test/java/tillerlink/peering/StatementsTest.java
+++ b/peering/src/test/java/tillerlink/peering/StatementsTest.java
@@ -52,7 +52,7 @@
         try (Gateways all = new Gateways(folder)) {
             Gateway n1 = all.start("n1", "-", "");
             all.await(n1, "/v1/schemas/17", said -> said.contains("\"version\":1,"));
-            assertEquals("{\"problem\":\"Malformed\",\"words\":\"no JSON: line 1, column 2\"}",
+            assertEquals("{\"problem\":\"Malformed\",\"words\":\"no JSON: line 1, column 1\"}",
                     call(all, n1, "/v1/statements/top", "x"));
             assertEquals("{\"problem\":\"Malformed\",\"words\":\"effect: pure, receipted, effectful\"}",
                     call(all, n1, "/v1/statements/top", "{\"effect\":\"some\"}"));
