--- a/channels/src/main/java/tillerlink/channels/Channels.java
+++ b/channels/src/main/java/tillerlink/channels/Channels.java
@@ -13,10 +13,10 @@
 import tillerlink.channels.entry.Stamps;
 import tillerlink.channels.epoch.Standings;
 import tillerlink.channels.journal.ChannelLog;
+import tillerlink.channels.journal.Holdings;
 import tillerlink.channels.journal.Journal;
 import tillerlink.channels.journal.Placed;
 import tillerlink.channels.journal.Sum;
-import tillerlink.channels.quota.Room;
 import tillerlink.channels.recovery.Store;
 import tillerlink.channels.sync.Fetcher;
 import tillerlink.channels.sync.Server;
@@ -33,7 +33,6 @@
 import tillerlink.messages.channels.ChannelsMessage.SumWanted;
 import tillerlink.messages.channels.ChannelsMessage.Want;
 import tillerlink.messages.channels.Cut;
-import tillerlink.messages.channels.Dot;
 import tillerlink.messages.channels.Entry;
 import tillerlink.messages.channels.Span;
 import tillerlink.peers.Invariant;
@@ -52,12 +51,8 @@
     private static final int REPORT_SPANS = 32;
     private static final int SHORT_SPANS = 3;
     private static final int REPORT_OTHERS = 8;
-    private static final int NAME_MOST = 64;
     private static final long LOG_LEAST = 100_000;
-    private static final int PENDING_MOST = 1024;
-
-    private record Asker(Draft draft, Consumer<Appended> answer) {
-    }
+    private static final int KINDS_MOST = 1024;
 
     private final Terms terms;
     private final Roster roster;
@@ -70,17 +65,10 @@
     private final Server server;
     private final Standings standings = new Standings();
     private final Agreement agreement;
-    private final Room room;
+    private final Writer writer;
     private final RandomGenerator random;
     private final long incarnation;
-    private final TreeMap<Long, Entry> pending = new TreeMap<>();
-    private final TreeMap<String, List<Asker>> pendingKeys = new TreeMap<>();
     private final TreeMap<String, Long> logged = new TreeMap<>();
-    private final TreeMap<Long, String> owners = new TreeMap<>();
-    private long pendingBytes;
-    private long sequence;
-    private long top;
-    private Dot[] lastSeen = new Dot[0];
     private long reportedAt = Long.MIN_VALUE / 2;
     private long now;
     private long wall;
@@ -107,7 +95,6 @@
         wire = new Wire(roster, post, random);
         fetcher = new Fetcher(journal, wire);
         server = new Server(journal, wire);
-        room = new Room(terms.bytes());
         store.load(journal);
         incarnation = Incarnations.draw(store.foundIncarnation(), wall, random);
         store.incarnation(incarnation);
@@ -115,6 +102,7 @@
         stamps.saw(journal.upTo());
         agreement = new Agreement(roster.self(), incarnation, terms.counted(), terms.absentAfter(), journal, store,
                 wire, server, fetcher, standings, random);
+        writer = new Writer(terms, journal, store, stamps, wire, incarnation, this::say);
     }
 
     // ---- for clients ----
@@ -127,140 +115,7 @@
      */
     public void append(long now, long wall, String channel, Draft draft, Consumer<Appended> answer) {
         time(now, wall);
-        String fault = channel.isEmpty() || channel.length() > NAME_MOST ? "a channel's name has 1 to 64 characters"
-                : draft.fault().orElse(null);
-        if (fault == null && !journal.logs().containsKey(channel) && journal.logs().size() >= terms.most()) {
-            fault = "there are " + terms.most() + " channels already, and no more are allowed";
-        }
-        if (fault != null) {
-            answer.accept(new Appended.Refused(fault, 0));
-            return;
-        }
-        if (!draft.key().isEmpty() && isAgain(channel, draft, answer)) {
-            return;
-        }
-        for (Dot dot : draft.seen() == null ? List.<Dot>of() : draft.seen()) {
-            if (stamps.isTooFarAhead(now, wall, dot.stamp())) {
-                answer.accept(new Appended.Refused("what it names as seen has a stamp too far ahead of the time", 0));
-                return;
-            }
-            stamps.saw(dot.stamp());
-        }
-        long tooFarBy = stamps.tooFarBy(now, wall);
-        if (tooFarBy > 0) {
-            refusedAhead++;
-            say("ahead", "an append was refused: its stamp would be " + tooFarBy + " ms further ahead of the fleet's"
-                    + " time than the " + terms.aheadMillis() + " ms allowed; set this machine's clock right");
-            answer.accept(new Appended.Refused("this gateway's clock is too far ahead of the fleet's", tooFarBy * 10));
-            return;
-        }
-        write(channel, draft, answer);
-    }
-
-    private boolean isAgain(String channel, Draft draft, Consumer<Appended> answer) {
-        List<Asker> waiting = pendingKeys.get(channel + "/" + draft.key());
-        if (waiting != null) {
-            if (waiting.size() >= PENDING_MOST) {
-                answer.accept(new Appended.Refused("too many ask with this key", Room.COME_BACK));
-            } else if (!same(waiting.get(0).draft, draft)) {
-                answer.accept(otherContent());
-            } else {
-                waiting.add(new Asker(draft, answer));
-            }
-            return true;
-        }
-        ChannelLog of = journal.logs().get(channel);
-        Dot dot = of == null ? null : of.key(draft.key());
-        if (dot == null) {
-            return false;
-        }
-        Entry entry = journal.entry(dot.incarnation(), dot.sequence());
-        answer.accept(entry == null || entry.kind() == draft.kind() && entry.cue().equals(draft.cue())
-                && entry.text().equals(draft.text()) ? new Appended.Taken(dot, true) : otherContent());
-        return true;
-    }
-
-    private static boolean same(Draft one, Draft other) {
-        return one.kind() == other.kind() && one.cue().equals(other.cue()) && one.text().equals(other.text());
-    }
-
-    private static Appended otherContent() {
-        return new Appended.Refused("this key stands for an event that says otherwise", 0);
-    }
-
-    private void write(String channel, Draft draft, Consumer<Appended> answer) {
-        Entry entry = new Entry(roster.self(), roster.site(roster.self()), incarnation, sequence + 1, stamps.next(wall),
-                channel, draft.kind(), draft.cue(), draft.text(), draft.airsAt(), draft.key(),
-                over(channel, draft), seen());
-        if (pending.size() >= PENDING_MOST
-                || !room.takes(journal, channel, entry.weight(), roster.names().size() + 1, pendingBytes)) {
-            say("full", "channel " + channel + " is full of events that are not agreed on: appends are refused");
-            answer.accept(new Appended.Refused("the channel is full", Room.COME_BACK));
-            return;
-        }
-        Invariant.holds(!journal.held().has(incarnation, entry.sequence()),
-                () -> "an own number is used a second time");
-        if (!store.entry(entry, () -> kept(entry, answer))) {
-            say("disk", "an append could not be kept: the disk is full or has failed");
-            answer.accept(new Appended.Refused("it can't be kept here: the disk is full or has failed",
-                    Room.COME_BACK));
-            return;
-        }
-        sequence++;
-        pending.put(entry.sequence(), entry);
-        pendingBytes += entry.weight();
-        if (!draft.key().isEmpty()) {
-            pendingKeys.put(channel + "/" + draft.key(), new ArrayList<>(List.of(new Asker(draft, answer))));
-        }
-    }
-
-    private List<Dot> over(String channel, Draft draft) {
-        if (draft.seen() != null) {
-            return List.copyOf(draft.seen());
-        }
-        ChannelLog of = journal.logs().get(channel);
-        return of == null || draft.cue().isEmpty() ? List.of()
-                : of.cue(draft.cue(), journal.upTo()).standing().stream().limit(Draft.SEEN_MOST).toList();
-    }
-
-    /** What is held of those that wrote of late, as far as it is more than when this gateway wrote last. */
-    private List<Dot> seen() {
-        List<Dot> seen = new ArrayList<>();
-        for (long other : journal.extra().incarnations()) {
-            long prefix = journal.held().prefix(other);
-            if (other != incarnation && prefix > 0 && seen.size() < Draft.SEEN_MOST && isNews(other, prefix)) {
-                Entry last = journal.entry(other, prefix);
-                seen.add(new Dot(other, prefix, last == null ? 0 : last.stamp()));
-            }
-        }
-        lastSeen = seen.isEmpty() ? lastSeen : seen.toArray(new Dot[0]);
-        return seen;
-    }
-
-    private boolean isNews(long other, long prefix) {
-        for (Dot dot : lastSeen) {
-            if (dot.incarnation() == other && dot.sequence() == prefix) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private void kept(Entry entry, Consumer<Appended> answer) {
-        pending.remove(entry.sequence());
-        pendingBytes -= entry.weight();
-        top = entry.sequence();
-        journal.put(entry);
-        wire.spread(new Piece(0, true, List.of(entry)), journal.voters());
-        Appended taken = new Appended.Taken(entry.dot(), false);
-        List<Asker> askers = entry.key().isEmpty() ? null : pendingKeys.remove(entry.channel() + "/" + entry.key());
-        if (askers == null) {
-            answer.accept(taken);
-        } else {
-            for (int i = 0; i < askers.size(); i++) {
-                askers.get(i).answer.accept(i == 0 ? taken : new Appended.Taken(entry.dot(), true));
-            }
-        }
+        writer.append(now, wall, channel, draft, answer);
     }
 
     /** @param bytesMost about so many bytes of events, at least one event */
@@ -308,7 +163,8 @@
     public State state() {
         long stable = journal.logs().values().stream().mapToLong(ChannelLog::stableCount).sum();
         return new State(incarnation, journal.applied(), journal.decided(), journal.base(), journal.tail().size(),
-                stable, journal.bytes(), journal.voters(), agreement.votes(), agreement.leads(), refusedAhead,
+                stable, journal.bytes(), journal.voters(), agreement.votes(), agreement.leads(),
+                refusedAhead + writer.refusedAhead(),
                 malformed, fetcher.again(), store.failures(), ownTakenBack, twoContents);
     }
 
@@ -380,7 +236,7 @@
             // It holds more than it told: nothing can be said.
             return;
         }
-        tillerlink.channels.journal.Holdings theirs = new tillerlink.channels.journal.Holdings();
+        Holdings theirs = new Holdings();
         report.extra().forEach(theirs::add);
         if (report.applied() >= journal.base()) {
             journal.placed().spans(before.incarnation()).forEach(theirs::add);
@@ -493,8 +349,7 @@
 
     private Standing standing() {
         long floor = stamps.floor(now, wall);
-        return new Standing(roster.self(), incarnation,
-                pending.isEmpty() ? floor : Math.min(floor, pending.firstEntry().getValue().stamp() - 1), top);
+        return new Standing(roster.self(), incarnation, writer.floor(floor), writer.top());
     }
 
     private long reportDue() {
@@ -521,7 +376,7 @@
         long slot = journal.base();
         if (journal.applied() - journal.base() > terms.cutsMost()) {
             slot = journal.applied() - terms.cutsMost() + terms.cutsMost() / 8;
-        } else if (journal.bytes() > room.compactBeyond() && journal.applied() > journal.base()) {
+        } else if (journal.bytes() > writer.room().compactBeyond() && journal.applied() > journal.base()) {
             slot = journal.base() + Math.max(1, (journal.applied() - journal.base()) / 4);
         }
         if (slot > journal.base()) {
@@ -545,7 +400,7 @@
 
     private void say(String kind, String line) {
         Long last = logged.get(kind);
-        if (last == null ? logged.size() < PENDING_MOST : now - last >= LOG_LEAST) {
+        if (last == null ? logged.size() < KINDS_MOST : now - last >= LOG_LEAST) {
             logged.put(kind, now);
             log.accept(line);
         }
--- a/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
+++ b/channels/src/main/java/tillerlink/channels/sync/Fetcher.java
@@ -17,7 +17,7 @@
 import tillerlink.peers.Post;
 
 /**
- * Gets what is missing here: it asks each gateway that has it for a bounded amount, and for each event only one at a time.
+ * Gets what is missing here: asks each gateway that has it for a bounded amount, and for each event only one at a time.
  * What does not come is asked for again, of anyone. Fresh events are sent by their writers at once and wait for none
  * of this.
  */
--- a/channels/src/test/java/tillerlink/channels/PlantedFaultsTest.java
+++ b/channels/src/test/java/tillerlink/channels/PlantedFaultsTest.java
@@ -74,7 +74,7 @@
     @Test
     void anOwnNumberUsedTwice() {
         assertEquals("invariant broken: an own number is used a second time", caught(each(channels ->
-                set(channels, "sequence", Math.max(0, (long) get(channels, "sequence") - 1)))));
+                set(get(channels, "writer"), "sequence", Math.max(0, (long) get(channels, "writer", "sequence") - 1)))));
     }
 
     @Test
@@ -147,7 +147,7 @@
 
     @Test
     void aDiskThatSaysItKeptAndDidNot() {
-        assertEquals("audit: answered and lost: [ID", caught(history -> history.each = () -> {
+        assertEquals("audit: n1 news has provisional events", caught(history -> history.each = () -> {
             for (String name : history.fleet.running.keySet()) {
                 java.util.NavigableMap<?, ?> disk = (java.util.NavigableMap<?, ?>) get(history.fleet.disks.get(name), "disk");
                 disk.keySet().removeIf(key -> key.toString().startsWith("e/"));
