--- a/storm/src/main/java/tillerlink/storm/play/StatementLoad.java
+++ b/storm/src/main/java/tillerlink/storm/play/StatementLoad.java
@@ -196,7 +196,8 @@
             HttpDoor.Reply reply = Statements.run(rig.client(gateway, PATIENCE_MS), "s" + name, id, mark, DEADLINE_MS);
             audit.answered(id, reply.status() == 404 || reply.status() == 409 ? 503 : reply.status());
             return reply.status() == 200 ? "" : reply.status() + " " + reply.body() + ", come back in "
-                    + reply.comeBackMs() + " ms; schema " + rig.client(gateway).get("/v1/schemas/" + group(name)).body();
+                    + reply.comeBackMs() + " ms; schema "
+                    + rig.client(gateway).get("/v1/schemas/" + group(name)).body();
         } catch (IOException e) {
             audit.excused(id);
             return e.toString();
