--- a/members/src/main/java/tillerlink/members/state/Suspicion.java
+++ b/members/src/main/java/tillerlink/members/state/Suspicion.java
@@ -14,6 +14,7 @@
     private final long least;
     private final long most;
     private long since;
+    private long lasts;
 
     Suspicion(long now, String by, int confirmations, long least, long most) {
         since = now;
@@ -21,11 +22,14 @@
         this.confirmations = confirmations;
         this.least = least;
         this.most = most;
+        lasts = lasting();
     }
 
     /** Whether that is an accuser more who counts. */
     boolean confirm(String by) {
-        return accusers.size() <= confirmations && accusers.add(by);
+        boolean counts = accusers.size() <= confirmations && accusers.add(by);
+        lasts = lasting();
+        return counts;
     }
 
     boolean accusedBy(String name) {
@@ -33,11 +37,15 @@
     }
 
     long deadline() {
+        return since + lasts;
+    }
+
+    private long lasting() {
         double share = confirmations == 0 ? 1
                 : Math.log(accusers.size()) / Math.log(confirmations + 1);
-        long lasts = Math.round(most - (most - least) * share);
-        Invariant.holds(lasts >= least && lasts <= most, () -> "a suspicion of " + lasts);
-        return since + lasts;
+        long span = Math.round(most - (most - least) * share);
+        Invariant.holds(span >= least && span <= most, () -> "a suspicion of " + span);
+        return span;
     }
 
     /** The own process was away: the time that it was counts for nobody. */
--- a/members/src/main/java/tillerlink/members/state/Table.java
+++ b/members/src/main/java/tillerlink/members/state/Table.java
@@ -51,6 +51,8 @@
     /** The same, for the many questions after one; nothing goes by its order. */
     private final Map<String, Entry> index = new HashMap<>();
     private final Map<String, Entry> suspected = new TreeMap<>();
+    /** When the first suspicion runs out; to be found anew if that is below zero. */
+    private long firstDue = -1;
     private final List<NavigableSet<String>> buckets = new ArrayList<>();
     private final Picks talking = new Picks();
     private final Picks gone = new Picks();
@@ -225,6 +227,7 @@
     /** One accuses it, perhaps the own process; true if that is new. */
     public boolean suspect(Entry entry, String by, long now, long since) {
         if (entry.standing() == Standing.SUSPECTED) {
+            firstDue = -1;
             return entry.suspicion().confirm(by);
         }
         if (entry.standing() != Standing.ALIVE) {
@@ -266,6 +269,9 @@
 
     /** One whose suspicion has run out is given up; null if there is none more. */
     public Entry expire(long now) {
+        if (dueAt() > now) {
+            return null;
+        }
         for (Entry entry : suspected.values()) {
             if (entry.suspicion().deadline() <= now) {
                 become(entry, Standing.GONE, entry.card(), null, now);
@@ -277,16 +283,17 @@
 
     /** When the first suspicion runs out. */
     public long dueAt() {
-        long due = Long.MAX_VALUE;
-        for (Entry entry : suspected.values()) {
-            due = Math.min(due, entry.suspicion().deadline());
+        if (firstDue < 0) {
+            firstDue = Long.MAX_VALUE;
+            suspected.values().forEach(entry -> firstDue = Math.min(firstDue, entry.suspicion().deadline()));
         }
-        return due;
+        return firstDue;
     }
 
     /** No suspicion runs while the own process is away. */
     public void away(long lasted) {
         suspected.values().forEach(entry -> entry.suspicion().later(lasted));
+        firstDue = -1;
     }
 
     /** Forgets those gone or left for so long that no rumour of their life is believed any more. */
@@ -340,6 +347,7 @@
         }
         if (entry.standing() == Standing.SUSPECTED) {
             suspected.put(entry.name(), entry);
+            firstDue = -1;
         }
     }
 
@@ -349,7 +357,9 @@
         } else if (gone.has(entry)) {
             gone.remove(entry);
         }
-        suspected.remove(entry.name());
+        if (suspected.remove(entry.name()) != null) {
+            firstDue = -1;
+        }
         Invariant.holds(!talking.has(entry) && !gone.has(entry), () -> entry.name() + " in two lists");
     }
 }
