--- a/storm/src/main/java/tillerlink/storm/engine/EngineStandIn.java
+++ b/storm/src/main/java/tillerlink/storm/engine/EngineStandIn.java
@@ -38,7 +38,6 @@
         daemon(() -> {
             while (!door.isClosed()) {
                 Socket socket = door.accept();
-                socket.setTcpNoDelay(true);
                 open.add(socket);
                 daemon(() -> converse(socket));
             }
@@ -49,8 +48,10 @@
         return door.getLocalPort();
     }
 
+    /** All that can fail on a connection fails here: one that was reset as it came must not end the door for all. */
     private void converse(Socket socket) throws IOException {
         try (socket) {
+            socket.setTcpNoDelay(true);
             EngineCommands commands = new EngineCommands();
             InputStream in = socket.getInputStream();
             OutputStream out = socket.getOutputStream();
