--- a/storm/src/test/java/tillerlink/storm/story/MembersStoryTest.java
+++ b/storm/src/test/java/tillerlink/storm/story/MembersStoryTest.java
@@ -95,16 +95,20 @@
         told.kept("members-parted");
     }
 
+    private void startedAgain() throws IOException {
+        rig.gateway("n1").start();
+        rig.awaitHealthy("n1");
+        told.timeline.note("n1 is started again");
+        told.together();
+    }
+
     @Test
     void oneIsKilledAndStartsAgain() throws IOException {
         rig.gateway("n1").kill();
         told.timeline.note("n1 is killed");
         told.says("n0", "n1", "gone");
         told.says("n2", "n1", "gone");
-        rig.gateway("n1").start();
-        rig.awaitHealthy("n1");
-        told.timeline.note("n1 is started again");
-        told.together();
+        startedAgain();
         told.kept("members-killed");
     }
 
@@ -114,10 +118,7 @@
         told.timeline.note("n1 is told to end, and ends");
         told.says("n0", "n1", "left");
         told.says("n2", "n1", "left");
-        rig.gateway("n1").start();
-        rig.awaitHealthy("n1");
-        told.timeline.note("n1 is started again");
-        told.together();
+        startedAgain();
         told.kept("members-left");
     }
 }
