Begin nothing for clients that have gone, and close no connection over unread bytes

- ClientLink.ended forgot only where a submission waited: after its poll had closed, further hops went out for it.
The module is told now (Steering.unattended) and begins none until the client calls again; the result stays.
- LineCarrier let a hop wait for its connection and EngineLink.start looked at the drain alone by then: a client that had left, or the time for repeats that had run out, did not stop the write.
The module is asked right before each write (Steering.mayBegin), through the one place where every carrier asks already (Flight.mayGo).
- A close could be readable and unread when a hop was ordered.
Hops go out once the reading thread has passed over all that was readable then (Driver.afterReading).
- MinaDriver closed both ways at once: over unread bytes that resets.
Now what we say ends, and what the peer says is read until it ends as well, for a second at most.
Idle closes and those at the bound end so, too.
- At the end of a process (Shutdown) requests that came after the last moment were taken and lost, half-read ones and connections at rest were cut.
What is left at the end gets the module's word, refused where that is harmless, instead of a failure.

Ruled out: engine connections closed by us bear no hop by then.

--- a/emulator/src/main/java/tillerlink/baseline/Baseline.java
+++ b/emulator/src/main/java/tillerlink/baseline/Baseline.java
@@ -122,6 +122,11 @@
         }
     }
 
+    @Override
+    public void outOfTime(long now, Submission s) {
+        end(s, Ending.BROKEN_OFF);
+    }
+
     @Override
     public void begun(long now, Hop hop) {
         // Answers are whole here.
--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -279,6 +279,31 @@
         advance(now, s);
     }
 
+    /** Guards engines against work that nobody waits for: no hop of it begins until its client has called again. */
+    @Override
+    public void unattended(long now, Submission s, boolean on) {
+        s.unattended = on;
+        if (on && s.track.queue.remove(s)) {
+            s.held = false;
+            alarms.set(s, tooLateAt(now, s));
+        } else if (!on && s.ending == null && !s.held && s.hopsOut == 0) {
+            if (!s.hops.isEmpty()) {
+                onward(now, s);
+            } else if (s.ordered()) {
+                advance(now, s);
+            } else {
+                hold(s, true);
+            }
+        }
+    }
+
+    @Override
+    public boolean mayBegin(long now, Hop hop) {
+        Submission s = hop.submission;
+        return s.ending == null && !s.unattended && !hop.wantedOff && now < s.leavesAt
+                && open(now, s, hop.engine, hop);
+    }
+
     private void close(Submission s, Ending ending) {
         if (s.ending == null) {
             s.ending = ending;
@@ -287,6 +312,13 @@
         }
     }
 
+    @Override
+    public void outOfTime(long now, Submission s) {
+        if (s.ending == null) {
+            giveUp(now, s);
+        }
+    }
+
     @Override
     public void woken(long now) {
         armedFor = Long.MAX_VALUE;
@@ -357,6 +389,9 @@
     // ---- queues ----
 
     private void hold(Submission s, boolean first) {
+        if (s.unattended) {
+            return;
+        }
         s.held = true;
         if (first) {
             s.track.queue.addFirst(s);
@@ -754,16 +789,21 @@
 
     /** Drains, placement and repeats: where a submission may go at all, now or once an engine is warm. */
     private boolean open(long now, Submission s, Engine engine) {
+        return open(now, s, engine, null);
+    }
+
+    /** @param next the hop that is about to begin there, or null if it has yet to be placed */
+    private boolean open(long now, Submission s, Engine engine, Hop next) {
         return engine.standing == Engine.Standing.READY && s.track.terms.allows(engine)
-                && repeatAllowed(now, s, engine);
+                && repeatAllowed(now, s, engine, next);
     }
 
-    private boolean repeatAllowed(long now, Submission s, Engine engine) {
+    private boolean repeatAllowed(long now, Submission s, Engine engine, Hop next) {
         if (s.hops.isEmpty() || s.track.terms.effect() == Effect.PURE) {
             return true;
         }
         for (Hop hop : s.hops) {
-            if (!hop.mayHaveRun()) {
+            if (hop == next || !hop.mayHaveRun()) {
                 continue;
             }
             if (s.track.terms.effect() == Effect.EFFECTFUL
--- a/gateway/src/main/java/tillerlink/model/Submission.java
+++ b/gateway/src/main/java/tillerlink/model/Submission.java
@@ -24,6 +24,8 @@
     public final List<Hop> hops = new ArrayList<>(1);
     public int hopsOut;
     public boolean held;
+    /** Nobody waits for its answer at present. */
+    public boolean unattended;
     /** The answer has begun to reach the client. */
     public boolean begun;
     /** Null while an answer is owed. */
--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -1,14 +1,17 @@
 package tillerlink.net.io;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
@@ -22,7 +25,7 @@
 /**
  * Reads and writes by Apache MINA. Its threads only post what came to the queue of the thread that owns the state.
  */
-public final class MinaDriver implements Driver {
+public final class MinaDriver implements Driver, Closeable {
     private static final int READ_MOST = 8192;
     /** No datagram is longer; one that is longer than the buffer it is read into would come cut, and be of no use. */
     private static final int DATAGRAM_MOST = 65_535;
@@ -35,6 +38,14 @@
     /** Pieces read from a connection and not yet taken; the other events are bounded by what was written. */
     private static final int UNREAD_MOST = 2;
 
+    /** How long what a peer says is read after we have ended. */
+    private static final long LINGER_NANOS = 1_000_000_000;
+
+    /** A connection on which we have ended and the peer may not have, and how long it may go on. */
+    private record HalfClosed(IoSession session, long until) {
+    }
+
+    private final Queue<HalfClosed> halfClosed = new ConcurrentLinkedQueue<>();
     private final Queue<Runnable> queue;
     private final Reading reading = new Reading();
     private final Consumer<byte[]> datagrams;
@@ -44,6 +55,10 @@
     private final NioDatagramConnector asker;
     private final ArrayDeque<Runnable> pending = new ArrayDeque<>();
     private IoSession asking;
+    /** Asked over before that one; an answer may still come there. */
+    private IoSession askedBefore;
+    /** The question that goes out once the way to the name service is there, or null. */
+    private byte[] question;
     private boolean askerDialing;
 
     public MinaDriver(Queue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
@@ -97,41 +112,77 @@
         return pipe;
     }
 
+    @Override
+    public void afterReading(Runnable then) {
+        reading.afterPass(() -> queue.add(then));
+    }
+
     @Override
     public void ask(byte[] datagram) {
         if (asking != null && asking.isConnected()) {
             asking.write(IoBuffer.wrap(datagram));
-        } else if (!askerDialing) {
+        } else {
+            question = datagram;
+            dialNameService();
+        }
+    }
+
+    private void dialNameService() {
+        if (!askerDialing) {
             askerDialing = true;
             InetSocketAddress to = nameService;
-            asker.connect(to).addListener(done -> queue.add(() -> dialed((ConnectFuture) done, to, datagram)));
+            asker.connect(to).addListener(done -> queue.add(() -> dialed((ConnectFuture) done, to)));
         }
     }
 
-    private void dialed(ConnectFuture future, InetSocketAddress to, byte[] datagram) {
+    private void dialed(ConnectFuture future, InetSocketAddress to) {
         askerDialing = false;
         if (future.isConnected() && to.equals(nameService)) {
             asking = future.getSession();
-            asking.write(IoBuffer.wrap(datagram));
+            asking.write(IoBuffer.wrap(question));
         } else if (future.isConnected()) {
+            // It moved meanwhile: the question is for where it is now.
             future.getSession().closeNow();
+            dialNameService();
+        }
+    }
+
+    @Override
+    public void askAfresh() {
+        if (askedBefore != null) {
+            askedBefore.closeNow();
         }
+        askedBefore = asking;
+        asking = null;
     }
 
     /** From now on the name service is asked at that address; called in a turn. */
     public void askAt(InetSocketAddress address) {
-        if (asking != null && !address.equals(nameService)) {
-            asking.closeNow();
-            asking = null;
+        if (!address.equals(nameService)) {
+            askAfresh();
+            askAfresh();
         }
         nameService = address;
     }
 
+    /** Nothing is read or written any more. */
+    @Override
+    public void close() {
+        acceptor.dispose();
+        connector.dispose();
+        asker.dispose();
+        reading.dispose();
+    }
+
     @Override
     public void flush() {
         for (Runnable write = pending.poll(); write != null; write = pending.poll()) {
             write.run();
         }
+        long now = System.nanoTime();
+        while (!halfClosed.isEmpty() && now - halfClosed.peek().until >= 0) {
+            halfClosed.poll().session.closeNow();
+        }
     }
 
     private static byte[] taken(Object message) {
@@ -147,10 +198,12 @@
         private final AtomicInteger unread = new AtomicInteger();
         private volatile IoSession session;
         private volatile boolean held;
+        /** The last that was written, or null. */
+        private WriteFuture last;
 
         @Override
         public void write(byte[] bytes) {
-            pending.add(() -> session.write(IoBuffer.wrap(bytes)));
+            pending.add(() -> last = session.write(IoBuffer.wrap(bytes)));
         }
 
         @Override
@@ -196,12 +249,19 @@
             });
         }
 
+        /**
+         * Unless it is to end now, only what we say ends, once all of it has gone out: closing over bytes that are still
+         * unread would reset the connection and take the last answer with it. What the peer says is read until it ends
+         * as well, for a while.
+         */
         private void end(boolean now) {
             if (session != null) {
                 if (now) {
                     session.closeNow();
+                } else if (last == null) {
+                    endOutput(session);
                 } else {
-                    session.closeOnFlush();
+                    last.addListener(done -> endOutput(session));
                 }
             } else if (future != null) {
                 future.cancel();
@@ -214,6 +274,12 @@
         }
     }
 
+    /** On any thread: what was written is out. */
+    private void endOutput(IoSession session) {
+        reading.run(() -> reading.endOutput(session));
+        halfClosed.add(new HalfClosed(session, System.nanoTime() + LINGER_NANOS));
+    }
+
     /** Posts what happens on a connection. */
     private class Posting extends IoHandlerAdapter {
         private static final String CAUSE = "cause";
--- a/gateway/src/main/java/tillerlink/net/io/Reading.java
+++ b/gateway/src/main/java/tillerlink/net/io/Reading.java
@@ -1,13 +1,22 @@
 package tillerlink.net.io;
 
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
+import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 
 /** MINA's thread for reading and writing; what changes whether a connection is read must run on it. */
 final class Reading extends NioProcessor {
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final Queue<Runnable> passes = new ConcurrentLinkedQueue<>();
+    /** To be called once what is readable now has been read. */
+    private List<Runnable> reading = List.of();
     private volatile Thread thread;
 
     Reading() {
@@ -27,12 +36,46 @@
         }
     }
 
+    /** Calls back on this thread, once a piece of everything that is readable by now has been read and posted. */
+    void afterPass(Runnable then) {
+        passes.add(then);
+        wakeup();
+    }
+
+    /** Ends what we say on a connection and leaves what its peer says to be read; on this thread. */
+    void endOutput(IoSession session) {
+        for (SelectionKey key : selector.keys()) {
+            if (key.attachment() == session && key.isValid()) {
+                try {
+                    ((SocketChannel) key.channel()).shutdownOutput();
+                } catch (IOException e) {
+                    session.closeNow();
+                }
+                return;
+            }
+        }
+        session.closeNow();
+    }
+
     @Override
     protected int select(long timeout) throws Exception {
         thread = Thread.currentThread();
         for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
             task.run();
         }
-        return super.select(timeout);
+        // All that the last selection found has been read.
+        reading.forEach(Runnable::run);
+        reading = List.of();
+        if (passes.isEmpty()) {
+            return super.select(timeout);
+        }
+        reading = new ArrayList<>();
+        for (Runnable pass = passes.poll(); pass != null; pass = passes.poll()) {
+            reading.add(pass);
+        }
+        int selected = selector.selectNow();
+        // MINA takes a selection that finds nothing at once for a fault of the selector, unless it was woken.
+        wakeupCalled.set(true);
+        return selected;
     }
 }
--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -15,27 +15,18 @@
 import tillerlink.net.state.Recall;
 import tillerlink.net.state.Side;
 import tillerlink.net.wire.Assignment;
-import tillerlink.plain.Units;
 import tillerlink.port.SteeringFactory;
 
 /** One gateway process: start, turns, drain, stop. */
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-    /** After SIGTERM clients may go on coming for this long. */
-    private static final long STILL_COMING = 700 * Units.TENTHS_PER_MS;
-    /** SIGKILL comes no sooner than the longest hard stop after that, which counts as this at most. */
-    private static final long LONGEST = 3000 * Units.TENTHS_PER_MS;
-    /** What is kept of that time for the last answers to go out. */
-    private static final long MARGIN = 300 * Units.TENTHS_PER_MS;
-    private static final long FLUSHED_AFTER = 50;
 
     private final WallClock clock = new WallClock();
     private final Turns turns = new Turns(clock::now);
     private final CountDownLatch ended = new CountDownLatch(1);
     private MinaDriver driver;
     private Gateway gateway;
-    private long drainedFrom = Long.MAX_VALUE;
-    private boolean broken;
+    private Shutdown shutdown;
 
     /** Serves until it is told to end. */
     public void serve(Map<String, String> environment, SteeringFactory modules)
@@ -75,11 +66,14 @@
             LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
             new Watch(path, () -> reload(path)).start();
         }
-        driver.listen(assignment.listen());
-        LOG.info("{} listens on {}", assignment.name(), assignment.listen());
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+        shutdown = new Shutdown(gateway);
         try {
-            turns.run(gateway, this::done);
+            // Before anybody can connect, for whoever does is owed an answer.
+            Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
+            driver.listen(assignment.listen());
+            LOG.info("{} listens on {}", assignment.name(), assignment.listen());
+            turns.run(gateway, () -> shutdown.done(clock.now()));
+            LOG.info("drained, {} requests without an answer", gateway.owed());
         } finally {
             if (side != null) {
                 side.close();
@@ -105,40 +99,24 @@
     private synchronized void reload(Path path) {
         try {
             InetSocketAddress resolver = Assignment.read(path).resolver();
-            turns.queue.add(() -> driver.askAt(resolver));
+            turns.queue.add(() -> {
+                driver.askAt(resolver);
+                gateway.nameServiceMoved();
+            });
             LOG.info("configuration read again, the name service is asked at {}", resolver);
         } catch (IOException e) {
             LOG.warn("configuration not taken, all stays as it was: {}", e.toString());
         }
     }
 
-    private boolean done() {
-        long drained = clock.now() - drainedFrom;
-        if (drainedFrom == Long.MAX_VALUE || drained < STILL_COMING) {
-            return false;
-        }
-        long outBy = STILL_COMING + Math.min(LONGEST, gateway.longestHardStop()) - MARGIN;
-        if (drained >= outBy && !broken) {
-            broken = true;
-            gateway.breakOffAll();
-            gateway.settle();
-        }
-        return gateway.allAnswered() || drained >= outBy + FLUSHED_AFTER * Units.TENTHS_PER_MS;
-    }
-
     /** SIGTERM came: waits until the last answer is out. */
     private void drain() {
         LOG.info("draining");
-        turns.queue.add(() -> {
-            drainedFrom = clock.now();
-            gateway.drain();
-        });
+        turns.queue.add(() -> shutdown.begin(clock.now()));
         try {
             ended.await();
-            Thread.sleep(FLUSHED_AFTER);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOG.info("drained");
     }
 }
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -9,8 +9,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import tillerlink.model.Named;
 import tillerlink.net.wire.Ask;
 import tillerlink.net.wire.HttpAnswer;
@@ -45,6 +45,8 @@
     private final long bytesMost;
     private long bytes;
     private boolean draining;
+    /** Nothing further is taken. */
+    private boolean closing;
     /** Takes some calls, or null. */
     private Side side;
 
@@ -74,15 +76,24 @@
 
     /**
      * Guards usual clients against those that connect by hundreds and say nothing, or ask once and stay: beyond the
-     * bound, what is of least use goes, the longest quiet first. If nothing may go yet, newcomers wait in the backlog.
+     * bound, what is of least use goes, the longest quiet first, and what has ended here does not linger. If nothing may
+     * go yet, newcomers wait in the backlog.
      */
     private void makeRoom() {
-        for (boolean room = true; room && clients.size() > clientsMost;) {
-            Optional<ClientLink> least = clients.stream().filter(ClientLink::mayGo)
-                    .min(Comparator.comparing(ClientLink::use).thenComparing(ClientLink::quietSince));
-            least.ifPresent(ClientLink::drop);
-            room = least.isPresent();
+        int more = clients.size() - clientsMost;
+        if (more <= 0) {
+            return;
         }
+        int over = (int) clients.stream().filter(ClientLink::over).count();
+        first(more, clients.stream().filter(ClientLink::over)).forEach(ClientLink::drop);
+        first(more - over, clients.stream().filter(client -> !client.over())).forEach(ClientLink::end);
+    }
+
+    /** So many of those that may go, those of least use first. */
+    private static List<ClientLink> first(int most, Stream<ClientLink> some) {
+        return some.filter(ClientLink::mayGo)
+                .sorted(Comparator.comparing(ClientLink::use).thenComparing(ClientLink::quietSince))
+                .limit(Math.max(0, most)).toList();
     }
 
     void forget(ClientLink client) {
@@ -116,7 +127,7 @@
             return;
         }
         HttpCall http = (HttpCall) item;
-        if (http.last()) {
+        if (http.last() || closing) {
             client.lastCall();
         }
         String path = http.path();
@@ -164,6 +175,10 @@
      * @return null if none was taken
      */
     Call submit(HttpCall http, Side.Guard guard, Side.Reply reply) {
+        if (closing) {
+            reply.answer(noRoom());
+            return null;
+        }
         Integer track = http.path().startsWith(SUBMIT) ? tracks.get(http.path().substring(SUBMIT.length())) : null;
         if (track == null) {
             reply.answer(HttpAnswer.unknown());
@@ -208,6 +223,7 @@
             stopWaiting(call);
             call.waiting = client;
             client.waitsFor = call;
+            gateway.unattended(call, false);
         }
     }
 
@@ -230,6 +246,13 @@
         }
     }
 
+    /** The connection on which its client waited, or handed it in and was to wait, has ended. */
+    void unattended(Call call) {
+        if (call.waiting == null) {
+            gateway.unattended(call, true);
+        }
+    }
+
     // ---- answers ----
 
     void fulfil(Call call, byte[] rows) {
@@ -294,6 +317,21 @@
         draining = true;
     }
 
+    /** Nothing further is taken: it is refused, and connections end once nothing is owed on them. */
+    void close() {
+        closing = true;
+        List.copyOf(clients).forEach(ClientLink::closing);
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    /** Whether no client is connected. */
+    boolean deserted() {
+        return clients.isEmpty();
+    }
+
     long longestHardStop() {
         return longestHardStop;
     }
--- a/gateway/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientLink.java
@@ -9,7 +9,7 @@
 /** A client's connection: one call at a time, and the next is read when the answer to the one before is out. */
 final class ClientLink implements Pipe.Owner {
     /** Of how much use a connection is, least first. */
-    enum Use { OVER, UNSPOKEN, ONCE, IDLE, OPEN }
+    enum Use { UNSPOKEN, ONCE, IDLE, OPEN }
 
     /** How long the first whole call may take from the connect on, and a later one from its first byte on. */
     private static final long CALL_MOST = 2500 * Units.TENTHS_PER_MS;
@@ -58,7 +58,7 @@
 
     Use use() {
         boolean open = inHand || sending() || handedIn != null && !handedIn.settled();
-        return over ? Use.OVER : open ? Use.OPEN : !spoken ? Use.UNSPOKEN : handedInSoFar < 2 ? Use.ONCE : Use.IDLE;
+        return open ? Use.OPEN : !spoken ? Use.UNSPOKEN : handedInSoFar < 2 ? Use.ONCE : Use.IDLE;
     }
 
     long quietSince() {
@@ -67,7 +67,11 @@
 
     /** Whether it may go at the bound: not before its client had time to speak. */
     boolean mayGo() {
-        return use() != Use.OPEN && door.now() >= quietSince + GRACE;
+        return (over || use() != Use.OPEN) && door.now() >= quietSince + GRACE;
+    }
+
+    boolean over() {
+        return over;
     }
 
     @Override
@@ -108,6 +112,9 @@
             if (inHand && waitsFor == null && !owed) {
                 inHand = false;
                 read();
+                if (door.closing()) {
+                    endResting();
+                }
             }
         }
     }
@@ -117,9 +124,12 @@
         over = true;
         if (waitsFor != null) {
             waitsFor.waiting = null;
+            door.unattended(waitsFor);
         }
         if (handedIn != null && !unsent.isEmpty()) {
             door.leave(handedIn);
+        } else if (handedIn != null) {
+            door.unattended(handedIn);
         }
         unsent.forEach(size -> door.held(-size));
         unsent.clear();
@@ -231,11 +241,34 @@
         } else if (!inHand && reader.midway() && now >= callSince + CALL_MOST) {
             refuse(HttpAnswer.problem(408, "Timeout", 0));
         } else if (!inHand && now >= quietSince + (spoken ? IDLE_MOST : CALL_MOST)) {
-            drop();
+            end();
+        } else if (door.closing()) {
+            endResting();
+        }
+    }
+
+    /** Ends it if no call is open on it, none has begun to come and its client is not about to make one. */
+    private void endResting() {
+        boolean fetches = handedIn != null && !handedIn.left && !handedIn.handedOut;
+        if (!over && !inHand && !reader.midway() && !fetches) {
+            end();
         }
     }
 
-    /** Ends it with no word. */
+    /** The door takes nothing more: what waits is the last call, and one that rests ends. */
+    void closing() {
+        lastCall |= inHand;
+        endResting();
+    }
+
+    /** Ends it with no word; what its client may be saying in this moment is read and not taken. */
+    void end() {
+        over = true;
+        quietSince = door.now();
+        pipe.close();
+    }
+
+    /** Ends it at once, with no word. */
     void drop() {
         over = true;
         pipe.drop();
--- a/gateway/src/main/java/tillerlink/net/state/Driver.java
+++ b/gateway/src/main/java/tillerlink/net/state/Driver.java
@@ -10,6 +10,19 @@
     /** Sends a datagram to the name service. */
     void ask(byte[] datagram);
 
+    /** Nothing is heard on the way on which it is asked: the next question takes another, as from another port. */
+    default void askAfresh() {
+        // Where there is one way only, it is asked on that.
+    }
+
+    /**
+     * Calls back, in this turn or a later one, once all that could be read of any connection when this was asked has
+     * been told to its owner.
+     */
+    default void afterReading(Runnable then) {
+        then.run();
+    }
+
     /** Hands out what the turn wrote. */
     void flush();
 }
--- a/gateway/src/main/java/tillerlink/net/state/Flight.java
+++ b/gateway/src/main/java/tillerlink/net/state/Flight.java
@@ -1,6 +1,7 @@
 package tillerlink.net.state;
 
 import java.io.ByteArrayOutputStream;
+import java.util.function.Predicate;
 import tillerlink.model.Hop;
 import tillerlink.net.wire.Rows;
 import tillerlink.plain.Units;
@@ -29,9 +30,13 @@
     int mended;
     private ByteArrayOutputStream answer;
 
-    Flight(Hop hop, Call call) {
+    private final Predicate<Hop> begins;
+
+    /** @param begins whether a hop may still begin */
+    Flight(Hop hop, Call call, Predicate<Hop> begins) {
         this.hop = hop;
         this.call = call;
+        this.begins = begins;
     }
 
     public String id() {
@@ -54,7 +59,7 @@
     /** Asked by whoever writes it, right before; if not, it ends as one that was never sent. */
     public boolean mayGo() {
         refused = call.guard != null && !call.guard.holds();
-        return !refused;
+        return !refused && begins.test(hop);
     }
 
     /** Whether {@link Carrier.Owner#written} is waited for. */
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +31,8 @@
     private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
     private static final long GRACE = 500 * Units.TENTHS_PER_MS;
     private static final int HEAP_SHARE = 4;
+    /** Connections, and the end, are looked after this often at the least. */
+    private static final long SWEEP_MOST = 125 * Units.TENTHS_PER_MS;
 
     private final Driver driver;
     private final ClientDoor clients;
@@ -53,6 +57,8 @@
     private long countAt;
     /** The module was told something and has not settled it. */
     private boolean unsettled;
+    /** Hops ordered in this turn. */
+    private List<Flight> ordered = new ArrayList<>();
 
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now) {
         this(assignment, factory, driver, now, null, null);
@@ -77,7 +83,8 @@
         Named terms = new Named(plain);
         int streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
         connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
-        sweepEvery = Math.max(1, connectMost / 2);
+        long grace = terms.number("guarantees.drain_grace", GRACE);
+        sweepEvery = Math.max(1, Math.min(SWEEP_MOST, connectMost / 2));
         idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
@@ -87,7 +94,7 @@
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
-        names = new NameService(driver, assignment.seed(), now, terms.number("guarantees.drain_grace", GRACE));
+        names = new NameService(driver, assignment.seed(), now, grace);
         steering = factory.start(now, assignment.seed(), plain, this);
         discovery = new Discovery(engines, steering, recall);
         discovery.start(now, assignment.known());
@@ -129,6 +136,7 @@
             sweepAt = now + sweepEvery;
             sweep();
         }
+        names.sweep(now);
         if (side != null) {
             side.settle(now);
         }
@@ -141,17 +149,21 @@
             unsettled = false;
             steering.settle(now);
         }
+        if (!ordered.isEmpty()) {
+            List<Flight> batch = ordered;
+            ordered = new ArrayList<>();
+            driver.afterReading(() -> batch.forEach(this::begin));
+        }
         driver.flush();
     }
 
     /** When the next turn is due though nothing comes. */
     public long dueAt() {
-        long dueAt = next.isEmpty() ? Math.min(wakeAt, sweepAt) : now;
+        long dueAt = next.isEmpty() ? Math.min(Math.min(wakeAt, sweepAt), names.dueAt()) : now;
         return side == null ? dueAt : Math.min(dueAt, side.dueAt());
     }
 
     private void sweep() {
-        names.sweep(now);
         engines.sweep(connectMost, idleMost);
         clients.sweep();
         if (now >= countAt) {
@@ -177,6 +189,14 @@
         unsettled = true;
     }
 
+    /** Nobody waits for its answer any more, though its client may call again; or it has. */
+    void unattended(Call call, boolean on) {
+        if (!call.settled() && call.submission.unattended != on) {
+            steering.unattended(now, call.submission, on);
+            unsettled = true;
+        }
+    }
+
     /** The client's time is up: hops that are still out end so. The engine knows the limit and is told nothing. */
     void overdue(Call call) {
         call.flights.forEach(flight -> ended(flight, Outcome.OVERDUE));
@@ -258,6 +278,11 @@
 
     // ---- the name service ----
 
+    /** The driver asks it elsewhere from now on. */
+    public void nameServiceMoved() {
+        names.moved(now);
+    }
+
     /** A datagram of the name service. */
     public void told(byte[] datagram) {
         try {
@@ -277,8 +302,19 @@
     @Override
     public void send(Hop hop) {
         Call call = (Call) hop.submission.tag;
-        Flight flight = new Flight(hop, call);
+        Flight flight = new Flight(hop, call, wanted -> steering.mayBegin(now, wanted));
         call.flights.add(flight);
+        ordered.add(flight);
+    }
+
+    /**
+     * Guards those whose client closed in the moment of the order: what could be read by then was taken in since, and
+     * the hop is looked at once more.
+     */
+    private void begin(Flight flight) {
+        if (!flight.hop.isOut()) {
+            return;
+        }
         if (flight.mayGo()) {
             carrier(flight).send(flight);
         } else {
@@ -345,11 +381,24 @@
         return clients.allAnswered();
     }
 
-    /** Time is up: what is left is broken off, which promises nothing and so is always allowed. */
-    public void breakOffAll() {
-        for (Call call : clients.owed()) {
-            clients.breakOff(call);
-            left(call);
-        }
+    /** Nothing further is taken; connections end once nothing is owed on them. */
+    public void close() {
+        clients.close();
+    }
+
+    /** Whether no client is connected any more. */
+    public boolean deserted() {
+        return clients.deserted();
+    }
+
+    /** Time is up: the module words the final answer to what is left. */
+    public void endAll() {
+        clients.owed().forEach(call -> steering.outOfTime(now, call.submission));
+        unsettled = true;
+    }
+
+    /** How many requests were taken and have no final answer. */
+    public int owed() {
+        return clients.owed().size();
     }
 }
--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -10,7 +10,8 @@
  *
  * <p>Each gateway asks once in the grace of a drain: what an answer tells must be known here a grace after it was sent,
  * and the service counts what it did not send as told only some graces later. A question whose answer does not come is
- * asked again after a quarter of that, at growing waits once many were lost. The period is drawn anew each time: guards
+ * asked again after a quarter of that, at growing waits once many were lost; where two got no answer, over another
+ * way, for the one in use may have fallen silent for good. The period is drawn anew each time: guards
  * the service against a fleet that was started at one moment and would ask in step for good.
  */
 final class NameService {
@@ -38,6 +39,9 @@
     void sweep(long now) {
         if (now >= nextAt) {
             long wait = Math.min(period, period / QUICK << Math.max(0, Math.min(2 * QUICK, unanswered++) - QUICK));
+            if (unanswered > 1 && unanswered % 2 == 1) {
+                driver.askAfresh();
+            }
             lastAt = now;
             nextAt = now + Math.max(1, wait);
             int id = random.nextInt(1 << 16);
@@ -49,6 +53,17 @@
         }
     }
 
+    long dueAt() {
+        return nextAt;
+    }
+
+    /** It is to be asked elsewhere: at once, and nothing that was asked before counts any more. */
+    void moved(long now) {
+        asked.clear();
+        unanswered = 0;
+        nextAt = now;
+    }
+
     /** @throws IllegalArgumentException if the datagram is of no use; the message says why */
     EngineNews take(byte[] datagram) {
         int id = Dns.id(datagram);
--- a/gateway/src/main/java/tillerlink/net/state/Pipe.java
+++ b/gateway/src/main/java/tillerlink/net/state/Pipe.java
@@ -4,7 +4,10 @@
 public interface Pipe {
     void write(byte[] bytes);
 
-    /** Ends it once all that was written has gone out. */
+    /**
+     * Nothing more is written: once all that was has gone out, the peer is told so. What it still says is told until
+     * it ends the connection as well, or a second has passed.
+     */
     void close();
 
     /** Ends it at once. */
--- a/gateway/src/main/java/tillerlink/port/Steering.java
+++ b/gateway/src/main/java/tillerlink/port/Steering.java
@@ -43,6 +43,22 @@
     /** The client went; nothing is owed any more. */
     void left(long now, Submission submission);
 
+    /** Nobody waits for the answer, though the client may call for it again; or it has. */
+    default void unattended(long now, Submission submission, boolean on) {
+        // Where clients wait on no connection there is nothing to hear.
+    }
+
+    /**
+     * Asked right before a hop is written, for that may be long after it was ordered. If not, it ends as one that was
+     * never sent.
+     */
+    default boolean mayBegin(long now, Hop hop) {
+        return hop.submission.ending == null;
+    }
+
+    /** The gateway ends and can't wait for it any longer: it gets its final answer now. */
+    void outOfTime(long now, Submission submission);
+
     /** A time asked for by {@link Orders#wake} has come. */
     void woken(long now);
 
