--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -279,7 +279,7 @@
         advance(now, s);
     }
 
-    /** Guards engines against work that nobody waits for: no hop of it begins until its client has called again. */
+    /** Guards engines against work that nobody waits for: no hop begins until the client calls again. */
     @Override
     public void unattended(long now, Submission s, boolean on) {
         s.unattended = on;
--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -250,9 +250,9 @@
         }
 
         /**
-         * Unless it is to end now, only what we say ends, once all of it has gone out: closing over bytes that are still
-         * unread would reset the connection and take the last answer with it. What the peer says is read until it ends
-         * as well, for a while.
+         * Unless it is to end now, only what we say ends, once all of it has gone out: closing over bytes that are
+         * still unread would reset the connection and take the last answer with it. What the peer says is read until
+         * it ends as well, for a while.
          */
         private void end(boolean now) {
             if (session != null) {
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -76,8 +76,8 @@
 
     /**
      * Guards usual clients against those that connect by hundreds and say nothing, or ask once and stay: beyond the
-     * bound, what is of least use goes, the longest quiet first, and what has ended here does not linger. If nothing may
-     * go yet, newcomers wait in the backlog.
+     * bound, what is of least use goes, the longest quiet first, and what has ended here does not linger. If nothing
+     * may go yet, newcomers wait in the backlog.
      */
     private void makeRoom() {
         int more = clients.size() - clientsMost;
