--- /dev/null
+++ b/gateway/src/test/java/tillerlink/net/life/ShutdownTest.java
@@ -0,0 +1,182 @@
+package tillerlink.net.life;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tillerlink.net.life.Loopback.Peer;
+
+/** Tells a whole process to end while something is owed; what is said next waits for what was seen. */
+@Timeout(120)
+class ShutdownTest {
+    private static final String ONE = "00000000000000a1";
+    private static final String TWO = "00000000000000a2";
+    private static final String ROWS = "{\"records\":[]}";
+    private static final String REFUSED = "{\"problem\":\"Full\"}";
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+    private static final int TERMINATED = 143;
+
+    @TempDir
+    private Path folder;
+    private ServerSocket engines;
+    private Process process;
+    private int port;
+
+    @BeforeEach
+    void start() throws IOException {
+        engines = new ServerSocket(0, 50, HERE);
+        engines.setSoTimeout(Loopback.PATIENCE_MS);
+        try (ServerSocket free = new ServerSocket(0, 1, HERE)) {
+            port = free.getLocalPort();
+        }
+        String entry = "{\"name\":\"e1\",\"address\":\"127.0.0.1:" + engines.getLocalPort()
+                + "\",\"zone\":\"east\",\"type\":\"std\",\"status\":\"SERVING\"}";
+        String track = "{\"name\":\"look\",\"semantics\":\"repeatable\",\"group\":\"all\",\"aim_us\":2000000,\"hard_limit_us\":9000000,"
+                + "\"worth\":1,\"late_worth\":0.5}";
+        Path file = Files.writeString(folder.resolve("configuration.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"resolver\":\"127.0.0.1:9\",\"known\":{\"index\":1,"
+                + "\"updates\":[{\"index\":1,\"endpoints\":{\"snapshot\":true,\"endpoints\":[" + entry + "]}}]},\"settings\":{"
+                + "\"tick_us\":5000,\"caps\":{\"max_attempts\":2,\"streams_per_conn\":8,\"connect_timeout_us\":250000,\"may_cancel\":true},"
+                + "\"models\":[\"std\"],\"zones\":[\"east\"],\"guarantees\":{\"drain_grace_us\":400000},"
+                + "\"family_info\":{\"kind_cores\":[8],\"tells_every_us\":9000000},\"profiles\":[" + track + "]}}");
+        ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "tillerlink.Main", "serve"));
+        builder.environment().put("EDGE_CONFIG", file.toString());
+        process = builder.redirectError(folder.resolve("log").toFile()).start();
+        Loopback.await(() -> {
+            try (Socket socket = new Socket(HERE, port)) {
+                return socket.isConnected();
+            } catch (IOException e) {
+                return false;
+            }
+        }, "it does not listen");
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        process.destroyForcibly();
+        engines.close();
+    }
+
+    /**
+     * Guards what comes, or has come in part, after the process takes nothing more: it is refused and not sent on; what
+     * was taken before is answered; no connection is cut.
+     */
+    @Test
+    void whatIsHalfReadAtTheEndIsRefusedAndWhatRestsEnds() throws Exception {
+        Peer rests = client();
+        rests.say("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        rests.heard("{}");
+        Peer taken = client();
+        taken.post(ONE, "look", 8000);
+        taken.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
+        taken.get(ONE);
+        Engine engine = new Engine(engines.accept());
+        assertEquals(ONE, engine.wanted());
+        String text = Peer.posting(TWO, "look", 8000);
+        Peer half = client();
+        half.say(text.substring(0, 60));
+        process.destroy();
+        rests.endedAndRead();
+        half.say(text.substring(60));
+        half.heard(REFUSED);
+        half.endedAndRead();
+        Peer late = client();
+        late.say(text);
+        late.heard(REFUSED);
+        late.endedAndRead();
+        engine.say(ONE + " ok count=1 0\r\n\r\n");
+        taken.heard(ROWS);
+        taken.endedAndRead();
+        assertEquals(Engine.OVER, engine.wanted());
+        gone("0 requests without an answer");
+    }
+
+    /** Guards clients of engines that all hang: each hears before the process is killed, whatever else it is told. */
+    @Test
+    void whatHangsAtTheEndIsAnswered() throws Exception {
+        Peer waits = client();
+        waits.post(ONE, "look", 8000);
+        waits.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
+        waits.get(ONE);
+        Engine engine = new Engine(engines.accept());
+        assertEquals(ONE, engine.wanted());
+        long told = System.nanoTime();
+        process.destroy();
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        process.destroy();
+        waits.heard(REFUSED);
+        long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - told);
+        assertTrue(ms >= 3000, "given up after " + ms + " ms already");
+        waits.endedAndRead();
+        gone("0 requests without an answer");
+    }
+
+    private Peer client() throws IOException {
+        Socket socket = new Socket(HERE, port);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(Loopback.PATIENCE_MS);
+        return new Peer(socket);
+    }
+
+    /** An engine that takes work and says that it works, and answers nothing unless it is told to. */
+    private static final class Engine {
+        static final String OVER = "the connection ended";
+        private final Peer peer;
+        private final BlockingQueue<String> wanted = new LinkedBlockingQueue<>();
+
+        Engine(Socket socket) throws IOException {
+            socket.setTcpNoDelay(true);
+            peer = new Peer(socket);
+            Thread thread = new Thread(this::listen, "engine");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void listen() {
+            try {
+                for (String line = peer.line(); line != null; line = peer.line()) {
+                    String[] words = line.split(" ");
+                    if (words[0].equals("there")) {
+                        say(words[1] + " yes - 0\r\n\r\n");
+                    } else if (words[0].equals("want")) {
+                        wanted.add(words[1]);
+                    }
+                }
+            } catch (IOException e) {
+                // It ended with a reset, as where a process goes.
+            }
+            wanted.add(OVER);
+        }
+
+        synchronized void say(String text) throws IOException {
+            peer.say(text);
+        }
+
+        String wanted() throws InterruptedException {
+            return wanted.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void gone(String lastWord) throws Exception {
+        assertTrue(process.waitFor(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(TERMINATED, process.exitValue());
+        String log = Files.readString(folder.resolve("log"), StandardCharsets.UTF_8);
+        assertTrue(log.contains(lastWord), log);
+    }
+}
