Play the module's kept stories under renamed and rescaled settings too

Cause: nothing showed that the module decides alike where a deployment has other names, another order of keys or settings that nobody knows yet, and figures a few times as large; a bare figure in it would have passed.

The form is a setting of Trace; the stories themselves are as they were.

--- a/gateway/src/test/java/tillerlink/Trace.java
+++ b/gateway/src/test/java/tillerlink/Trace.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import tillerlink.model.Engine;
 import tillerlink.model.Hop;
 import tillerlink.model.KeyLine;
@@ -22,9 +23,16 @@
 
 /** A door for tests: plays events to one module and prints what it orders, a line each. Times are milliseconds. */
 final class Trace implements Orders {
-    private static final int TENTHS = 10;
-    private static final long START = 1_000_000;
+    /** The form in which all stories are played: so many times the times and payoffs, and other names or not. */
+    static int scale = 1;
+    static boolean renamed;
 
+    private static final String TIMES = "tick|.*[.](max_retry_after|drain_grace|fall|warm_within|settle_after_doubt"
+            + "|budget_span|ask_within|tells_every|aim|hard_limit|window)";
+    private static final int OTHER_ZONES = 5;
+
+    private final int tenths = 10 * scale;
+    private final long start = 1_000_000L * scale;
     private final Map<String, Object> settings = new LinkedHashMap<>();
     private final Map<String, Engine> engines = new LinkedHashMap<>();
     private final Map<String, Submission> submissions = new LinkedHashMap<>();
@@ -32,8 +40,8 @@
     private final StringBuilder printed = new StringBuilder();
     private Policy policy;
     private long seed = 7;
-    private long now = START;
-    private long patience = 50000;
+    private long now = start;
+    private long patience = 50000L * scale;
     private long wakeAt = Long.MAX_VALUE;
 
     /** Two gateways, 8-core engines, one pure track of width 1 unless changed; times are tenths. */
@@ -79,24 +87,48 @@
     }
 
     Trace up(String... ready) {
-        policy = new Policy(now, seed, settings, this);
+        policy = new Policy(now, seed, renamed ? otherwise() : scaled(), this);
         for (String name : ready) {
             list(name, Engine.Standing.READY, 0);
         }
         return this;
     }
 
+    private Map<String, Object> scaled() {
+        Map<String, Object> all = new LinkedHashMap<>(settings);
+        all.replaceAll((name, value) -> name.matches(TIMES) ? (Object) ((Long) value * scale)
+                : name.endsWith(".worth") ? (Object) ((Double) value * scale) : value);
+        return all;
+    }
+
+    /** The same under other names: these are places in lists. In another order, and with more that nobody knows. */
+    private Map<String, Object> otherwise() {
+        Map<String, Object> all = new LinkedHashMap<>(Map.of("caps.new_key", 30_000_000L, "unheard_of", "x", "models",
+                List.of("k-b", "k-a"), "profiles.0.name", "a name", "profiles.0.new_key", List.of(1, 2)));
+        scaled().entrySet().stream().sorted(Map.Entry.<String, Object>comparingByKey().reversed())
+                .forEach(one -> all.put(one.getKey(), one.getValue()));
+        all.computeIfPresent("family_info.kind_cores", (name, cores) -> List.of(((List<?>) cores).get(1), ((List<?>) cores).get(0)));
+        all.replaceAll((name, value) -> name.endsWith(".zones_open") ? places(value, zone -> zone + OTHER_ZONES)
+                : name.endsWith(".models_allowed") ? places(value, kind -> 1 - kind) : value);
+        return all;
+    }
+
+    private static List<Integer> places(Object list, UnaryOperator<Integer> other) {
+        return ((List<?>) list).stream().map(place -> other.apply((Integer) place)).toList();
+    }
+
     /** An engine's zone is the digit at the end of its name; names that begin with "big" are of kind 1. */
     Trace list(String name, Engine.Standing standing, long startedAgo) {
         Engine engine = engines.computeIfAbsent(name, Engine::new);
-        policy.listed(now, false, List.of(new Listed(engine, name.startsWith("big") ? 1 : 0,
-                name.charAt(name.length() - 1) - '0', 0, 1, standing, startedAgo == 0 ? 0 : now - startedAgo * TENTHS)));
+        int kind = name.startsWith("big") ? 1 : 0;
+        int zone = name.charAt(name.length() - 1) - '0';
+        policy.listed(now, false, List.of(new Listed(engine, renamed ? 1 - kind : kind, renamed ? zone + OTHER_ZONES : zone, 0, 1, standing, startedAgo == 0 ? 0 : now - startedAgo * tenths)));
         return settle();
     }
 
     /** How long clients wait from now on. */
     Trace patience(long ms) {
-        patience = ms * TENTHS;
+        patience = ms * tenths;
         return this;
     }
 
@@ -111,7 +143,7 @@
 
     Trace arrive(String id, int track, double workMs, int tableGroup, String key) {
         KeyLine line = key == null ? null : lines.computeIfAbsent(key, k -> new KeyLine());
-        Submission s = new Submission(id, track, tableGroup, false, now, now + patience, workMs * TENTHS, 0, line);
+        Submission s = new Submission(id, track, tableGroup, false, now, now + patience, workMs * tenths, 0, line);
         submissions.put(id, s);
         policy.arrived(now, s);
         return settle();
@@ -144,7 +176,7 @@
 
     /** Lets time pass, waking the module when it asked for it. */
     Trace pass(long ms) {
-        long until = now + ms * TENTHS;
+        long until = now + ms * tenths;
         while (wakeAt <= until) {
             now = Math.max(now, wakeAt);
             wakeAt = Long.MAX_VALUE;
@@ -157,7 +189,7 @@
 
     /** The gateway stands still: time passes and nothing wakes the module. */
     Trace stall(long ms) {
-        now += ms * TENTHS;
+        now += ms * tenths;
         return this;
     }
 
@@ -191,7 +223,7 @@
     }
 
     private void print(String line) {
-        long ms = (now - START) / TENTHS;
+        long ms = (now - start) / tenths;
         printed.append(String.format("%5d  %s%n", ms, line));
     }
 
@@ -212,7 +244,7 @@
 
     @Override
     public void turnBack(Submission s, long comeBack) {
-        print("turn back " + s.tag + ", come back in " + comeBack / TENTHS);
+        print("turn back " + s.tag + ", come back in " + comeBack / tenths);
     }
 
     @Override
