Measure what the settings leave out by the tracks' limits, not by bare figures

Cause: Gateway.java took 1 s for a missing connect time-out, 30 s for a missing idle time and 500 ms for a missing drain grace, and the last two are figures of deployments: CONNECT_MOST, IDLE_MOST and GRACE (lines 28 to 30, used in the constructor).

Change: where they are missing or 0, a connection may come up for the shortest soft limit of any track, lies idle for the longest hard stop at most (engines that state no idle time close nothing, and whoever came before it fell idle waits no more), and the name service is asked once in the shortest soft limit. A drain is obeyed as soon as it is told either way. Stated figures hold as before.

Seen: the story whatIsNotStated fails without the change (the connection that does not come up is dropped after 1,000 ms instead of 400, the idle one is not closed by 5,600 ms) and passes with it; GatewayTest, SideTest and NameServiceTest pass with all other kept traces as they were.

--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -25,9 +25,6 @@
 public final class Gateway implements Orders, Carrier.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
-    private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
-    private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
-    private static final long GRACE = 500 * Units.TENTHS_PER_MS;
     private static final int HEAP_SHARE = 4;
 
     private final Driver driver;
@@ -76,24 +73,42 @@
         Map<String, Object> plain = PlainNames.of(assignment.terms());
         Named terms = new Named(plain);
         int streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
-        connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
+        long soon = shortestSoftLimit(terms);
+        connectMost = stated(terms, "caps.connect_timeout", soon);
         sweepEvery = Math.max(1, connectMost / 2);
-        idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
         clients = new ClientDoor(this, terms, assignment.clientsMost(), bytesMost);
+        // Engines that close nothing: whoever came before it fell idle waits no more.
+        idleMost = stated(terms, "caps.conn_idle", 2 * clients.longestHardStop()) / 2;
         guarded = new Guarded(this, clients);
         engines = new EngineList(terms, this, (owner, site, kind) -> {
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
-        names = new NameService(driver, assignment.seed(), now, terms.number("guarantees.drain_grace", GRACE));
+        // With no grace, or none stated, a drain is obeyed at once, and what is asked for is only how fresh the list is.
+        names = new NameService(driver, assignment.seed(), now, stated(terms, "guarantees.drain_grace", soon));
         steering = factory.start(now, assignment.seed(), plain, this);
         discovery = new Discovery(engines, steering, recall);
         discovery.start(now, assignment.known());
         unsettled = true;
     }
 
+    private static long stated(Named terms, String name, long otherwise) {
+        long stated = terms.number(name, 0);
+        return stated > 0 ? stated : otherwise;
+    }
+
+    /** The measure of what the settings leave out: what takes longer earns nothing in full. */
+    private static long shortestSoftLimit(Named terms) {
+        long shortest = Long.MAX_VALUE;
+        for (int i = 0; i < terms.number("profiles", 0); i++) {
+            String track = "profiles." + i + ".";
+            shortest = Math.min(shortest, stated(terms, track + "aim", stated(terms, track + "hard_limit", COUNT_EVERY)));
+        }
+        return Math.min(shortest, COUNT_EVERY);
+    }
+
     /** What stands beside the module from now on. */
     public void beside(Side stands) {
         side = stands;
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -1,5 +1,7 @@
 package tillerlink;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import tillerlink.net.state.Break;
@@ -7,6 +9,7 @@
 /** Submissions from bytes to orders and back, on a driver that only prints; each story is compared with its kept trace. */
 class GatewayTest {
     private static final String ID = "00000000000000a1";
+    private static final String OTHER = "00000000000000a2";
 
     @Test
     void aResultOfThreePages() {
@@ -217,4 +220,19 @@
                 .engine(1, "00000000000000b1 ok count=1 0||").pass(20).engine(0, "00000000000000b0 ok count=1 0||");
         s.post("c5", "00000000000000b5", "look").matches("net-many-engines");
     }
+
+    /**
+     * What the settings leave out is measured by the shortest soft limit (400 ms here) and the longest hard stop (5 s),
+     * not by any figure of the program's own.
+     */
+    @Test
+    void whatIsNotStated() {
+        Stage s = new Stage().terse().post("c1", ID, "look").get("c1", ID).say("not up for a soft limit").pass(399).pass(2);
+        s.say("the next is up").post("c2", OTHER, "look").get("c2", OTHER).connected(1).engine(1, OTHER + " ok count=1 6|a\t1\tx\n|");
+        s.say("idle for a hard stop").pass(4_800).say("and no longer").pass(400).matches("net-unstated");
+        int before = s.questions();
+        s.pass(40_000);
+        int asked = s.questions() - before;
+        assertTrue(asked >= 95 && asked <= 105, asked + " questions in a hundred soft limits");
+    }
 }
--- a/gateway/src/test/java/tillerlink/Stage.java
+++ b/gateway/src/test/java/tillerlink/Stage.java
@@ -32,6 +32,8 @@
     private int sockets = 1024;
     private long now = START;
     private int query;
+    private int questions;
+    private boolean terse;
     private boolean stuck;
     private boolean quiet;
     private Gateway gateway;
@@ -45,15 +47,15 @@
         clients.clear();
         unsent.clear();
         stuck = false;
-        Map<String, Object> caps = Map.of("max_attempts", 3L, "may_cancel", true, "retry_after", true, "max_retry_after_us",
+        Map<String, Object> caps = terse ? Map.of("max_attempts", 3L) : Map.of("max_attempts", 3L, "may_cancel", true, "retry_after", true, "max_retry_after_us",
                 1_000_000L, "streams_per_conn", 32L, "connect_timeout_us", 250_000L, "conn_idle_us", 30_000_000L);
-        Map<String, Object> look = Map.of("name", "look", "semantics", "repeatable", "aim_us", 1_000_000L, "hard_limit_us",
+        Map<String, Object> look = Map.of("name", "look", "semantics", "repeatable", "aim_us", terse ? 400_000L : 1_000_000L, "hard_limit_us",
                 5_000_000L, "worth", 1.0, "late_worth", 0.5);
         Map<String, Object> book = Map.of("name", "book", "semantics", "once", "aim_us", 1_000_000L, "hard_limit_us",
                 5_000_000L, "worth", 1.0, "late_worth", 0.5);
         Map<String, Object> load = Map.of("name", "load", "semantics", "by_key", "aim_us", 1_000_000L, "hard_limit_us", 5_000_000L);
         Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book, load), "models", List.of("std"), "zones",
-                List.of("east"), "tick_us", 5000L, "guarantees", Map.of("drain_grace_us", 100_000L),
+                List.of("east"), "tick_us", 5000L, "guarantees", terse ? Map.of() : Map.of("drain_grace_us", 100_000L),
                 "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
         EngineNews known = new EngineNews(1, true, fleet);
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 1);
@@ -61,6 +63,12 @@
         return turn(() -> { });
     }
 
+    /** With settings that leave out all that they may. */
+    Stage terse() {
+        terse = true;
+        return fresh();
+    }
+
     Stage fleet(int engines, int descriptors) {
         fleet = IntStream.range(1, engines + 1).mapToObj(i -> entry("e" + i, "127.0.0." + i)).toList();
         sockets = descriptors;
@@ -139,6 +147,11 @@
         });
     }
 
+    /** Of the name service, so far. */
+    int questions() {
+        return questions;
+    }
+
     /** Time passes until the name service is asked. */
     private Stage asked() {
         query = -1;
@@ -217,6 +230,7 @@
 
     @Override
     public void ask(byte[] datagram) {
+        questions++;
         query = (datagram[0] & 255) << 8 | datagram[1] & 255;
     }
 
