Take the descriptors from the system where none are stated; refuse what is no number

Cause: Assignment.java:53 took 1,024 for a missing limits.sockets, which is a deployment's figure, and the same for one that is not a number or 0. An empty file (as while it is rewritten) ended in a NullPointerException out of Json.value, which Node.reload does not catch: the reading again after SIGHUP died on its thread instead of saying that all stays as it was. A resolver with port 0 was taken.

Change: a missing limit is what the system gives the process, 65,536 at most; sockets that are no number above 0, an empty file and a resolver without a port are refused in words, at the start and when read again.

--- a/gateway/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/gateway/src/main/java/tillerlink/net/wire/Assignment.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.sun.management.UnixOperatingSystemMXBean;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +18,8 @@
 public record Assignment(String name, InetSocketAddress listen, InetSocketAddress resolver, long seed, int sockets,
                          Map<String, Object> terms, List<EngineNews> known) {
     private static final int HEX = 16;
+    /** More connections than an address has ports are of no use. */
+    private static final int PORTS = 1 << 16;
 
     /** The names of the tracks. */
     public List<String> tracks() {
@@ -36,7 +40,9 @@
     /** @throws IOException if it can't be read or is not what it should be; the message says what */
     public static Assignment read(Path file) throws IOException {
         try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(file))) {
-            parser.nextToken();
+            if (parser.nextToken() == null) {
+                throw new IllegalArgumentException("the configuration is empty");
+            }
             return of(object(Json.value(parser), "the configuration"));
         } catch (IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
@@ -50,11 +56,27 @@
         for (Object update : list(known.getOrDefault("updates", List.of()), "known.updates")) {
             news.add(news(object(update, "known.updates")));
         }
-        return new Assignment(text(all, "name"), address(text(all, "listen")), address(text(all, "resolver")),
-                Long.parseUnsignedLong(text(all, "seed"), HEX), number(limits, "sockets", 1024).intValue(),
+        InetSocketAddress resolver = address(text(all, "resolver"));
+        if (resolver.getPort() == 0) {
+            throw new IllegalArgumentException("'resolver' has no port");
+        }
+        return new Assignment(text(all, "name"), address(text(all, "listen")), resolver,
+                Long.parseUnsignedLong(text(all, "seed"), HEX), descriptors(limits.get("sockets")),
                 object(all.get("settings"), "settings"), news);
     }
 
+    /** Where none are stated, the process has what its system gives it. */
+    private static int descriptors(Object stated) {
+        if (stated == null) {
+            return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
+                    ? (int) Math.min(PORTS, system.getMaxFileDescriptorCount()) : PORTS;
+        }
+        if (stated instanceof Number number && number.longValue() > 0) {
+            return (int) Math.min(PORTS, number.longValue());
+        }
+        throw new IllegalArgumentException("'limits.sockets' is not a number above 0");
+    }
+
     private static EngineNews news(Map<String, Object> update) {
         Map<String, Object> told = object(update.get("endpoints"), "endpoints");
         List<EngineEntry> entries = new ArrayList<>();
