Give the built-in fleet, its tracks and the examples figures and names of their own

Cause: Fleet.of, BuiltIn.tracks, deploy/operator.hcl and examples/configuration.json held the terms of one deployment (start capacity, warming, fall, grace, budget, connect and idle times, kinds' memory, and soft limits, hard stops and payoffs of its three classes), FleetPart took them for whatever an operator's file leaves out, and TrackPart took the same site's 20 s for a missing mark_kept_ms. The kind std-8 and the track load are another deployment's names.

Change: made-up terms throughout, equal in the example and in what holds where it is left out; a mark is kept for its track's hard stop unless stated; the names are small-8 and intake. AuditorTest states the same rules at the same margins with the new figures.

--- a/audit/src/test/java/tillerlink/audit/AuditorTest.java
+++ b/audit/src/test/java/tillerlink/audit/AuditorTest.java
@@ -21,7 +21,7 @@
 
     AuditorTest() {
         List<Track> tracks = List.of(track("pure", Effect.PURE), track("receipted", Effect.RECEIPTED),
-                track("effectful", Effect.EFFECTFUL), track("bound", Effect.PURE, "std-8"), track("ordered", Effect.PURE));
+                track("effectful", Effect.EFFECTFUL), track("bound", Effect.PURE, "small-8"), track("ordered", Effect.PURE));
         auditor = new Auditor(Fleet.builtIn(2), tracks, false, false, false, false, true);
         auditor.engineUp("e1", 0, 0);
         auditor.engineUp("big", 1, 0);
@@ -116,23 +116,23 @@
     void drains() {
         taken("a", PURE, null).taken("b", PURE, null);
         auditor.withdrawn(T, 0, "e1");
-        auditor.sent(T + 5000, 0, "e1", "a");
-        auditor.sent(T + 5001, 0, "e1", "b");
+        auditor.sent(T + 8000, 0, "e1", "a");
+        auditor.sent(T + 8001, 0, "e1", "b");
         taken("c", PURE, null);
         auditor.sent(T, 0, "nobody", "c");
         found("""
-                DRAIN: b went from n0 to e1 500 ms after it was told to be draining or gone
+                DRAIN: b went from n0 to e1 800 ms after it was told to be draining or gone
                 DRAIN: a hop of c went to nobody, which nobody knows
                 """);
     }
 
     @Test
     void coldEngines() {
-        // A second after its start it can do (0.3 + 0.7 / 13) * 8 cores * 3 s * 2.5 = 21.2 s of work.
-        taken("a", PURE, null).taken("b", PURE, null).ranAt(T, "cold", "a", 200_000);
+        // A second after its start it can do (0.25 + 0.75 / 10) * 8 cores * 2 s * 3.5 = 18.2 s of work.
+        taken("a", PURE, null).taken("b", PURE, null).ranAt(T, "cold", "a", 170_000);
         found("");
         ranAt(T + 10, "cold", "b", 20_000);
-        found("COLD: cold was sent 22000 ms of work within 3000 ms, 1001 ms after its start\n");
+        found("COLD: cold was sent 19000 ms of work within 2000 ms, 1001 ms after its start\n");
     }
 
     @Test
@@ -160,12 +160,12 @@
             auditor.sent(T, 0, "e1", "a" + i);
             auditor.over("a" + i, true);
         }
-        for (int i = 0; i < 6; i++) {
-            auditor.sent(T + 99_999, 0, "e1", "a" + i);
+        for (int i = 0; i < 8; i++) {
+            auditor.sent(T + 119_999, 0, "e1", "a" + i);
         }
-        // Three and a tenth of twenty; a window later the twenty count no more.
-        found("BUDGET: n0 made 6 further hops where 5.0 were allowed\n");
-        auditor.sent(T + 100_000, 0, "e1", "a7");
+        // Four and three twentieths of twenty; a window later the twenty count no more.
+        found("BUDGET: n0 made 8 further hops where 7.0 were allowed\n");
+        auditor.sent(T + 120_000, 0, "e1", "a8");
         assertEquals(2, auditor.counts().get(Rule.BUDGET));
     }
 }
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -98,25 +98,25 @@
   gateways      = 3
   sockets       = 4096       # descriptors of one gateway
   zones         = ["east", "west"]
-  notes_every_s = 2
-  drain_grace_s = 0.5
+  notes_every_s = 1.5
+  drain_grace_s = 0.8
   hops_most     = 4
-  come_back_s   = 1          # how long a client that is turned back is told to stay away; 0 tells nothing
-  kind "std-8" {
+  come_back_s   = 0.8        # how long a client that is turned back is told to stay away; 0 tells nothing
+  kind "small-8" {
     cores     = 8
-    memory_mb = 16384
+    memory_mb = 20000
   }
   kind "big-16" {
     cores     = 16
-    memory_mb = 32768
+    memory_mb = 40000
   }
   engines "a" {              # a1, a2, ...
-    kind  = "std-8"
+    kind  = "small-8"
     zone  = "east"
     count = 5
   }
   engines "b" {
-    kind  = "std-8"
+    kind  = "small-8"
     zone  = "west"
     count = 4
   }
@@ -126,28 +126,28 @@
     count = 3
   }
   cold {                     # an engine just started; sent more than fall_multiple times what it can do, it falls over
-    start_capacity = 0.3
-    warm_within_s  = 13
-    fall_multiple  = 2.5
-    fall_s         = 3
+    start_capacity = 0.25
+    warm_within_s  = 10
+    fall_multiple  = 3.5
+    fall_s         = 2
   }
   budget {                   # further hops of a gateway in any such span
-    floor  = 3
-    ratio  = 0.1
-    span_s = 10
+    floor  = 4
+    ratio  = 0.15
+    span_s = 12
   }
 }
 
 # Tracks, and which rows become their submissions: the first whose tests all hold takes a row. effect: pure,
 # receipted or effectful. The work of each is scaled so that its median is as stated.
-track "load" {
+track "intake" {
   effect         = "receipted"
   threads        = 2
-  soft_limit_ms  = 3000
-  hard_stop_ms   = 20000
-  payoff         = 6
-  late_payoff    = 3.6
-  mark_kept_ms   = 20000     # how long engines know its mark
+  soft_limit_ms  = 4000
+  hard_stop_ms   = 18000
+  payoff         = 4
+  late_payoff    = 2
+  mark_kept_ms   = 18000     # how long engines know its mark; left out: for its hard stop
   median_work_ms = 500
   rows {
     column = "team"
@@ -157,12 +157,12 @@
 
 track "sheet" {
   effect         = "pure"
-  threads        = 4
-  soft_limit_ms  = 2000
-  hard_stop_ms   = 25000
-  payoff         = 5
-  late_payoff    = 1.5
-  kinds          = ["std-8"] # bound to these on every hop
+  threads        = 3
+  soft_limit_ms  = 2500
+  hard_stop_ms   = 24000
+  payoff         = 3
+  late_payoff    = 1.2
+  kinds          = ["small-8"] # bound to these on every hop
   median_work_ms = 600
   rows {
     column = "cpu"
@@ -172,10 +172,10 @@
 
 track "look" {
   effect         = "pure"
-  soft_limit_ms  = 800
-  hard_stop_ms   = 4000
+  soft_limit_ms  = 900
+  hard_stop_ms   = 4500
   payoff         = 1
-  late_payoff    = 0.1
+  late_payoff    = 0.25
   median_work_ms = 80
 }
 
--- a/fleet/src/main/java/tillerlink/fleet/Fleet.java
+++ b/fleet/src/main/java/tillerlink/fleet/Fleet.java
@@ -43,16 +43,16 @@
         return of(gateways, 12);
     }
 
-    /** A third of the engines have 16 cores, the others 8. */
+    /** A third of the engines have 16 cores, the others 8. Its terms are made up: they are no deployment's. */
     public static Fleet of(int gateways, int engines) {
         List<Spec> specs = new ArrayList<>();
         for (int i = 0; i < engines; i++) {
             specs.add(new Spec("e" + (i + 1), i % 3 == 2 ? 1 : 0, i / 3 % 3));
         }
-        return new Fleet(gateways, SEATS, List.of(new Kind("std-8", 8, 16_384, false),
-                new Kind("big-16", 16, 32_768, false)),
-                List.of("east", "middle", "west"), specs, 2 * SECOND, 0.3, 13 * SECOND, 2.5, 3 * SECOND, SECOND / 2,
-                3, 0.1, 10 * SECOND, 4, SECOND);
+        return new Fleet(gateways, SEATS, List.of(new Kind("small-8", 8, 20_000, false),
+                new Kind("big-16", 16, 40_000, false)),
+                List.of("east", "middle", "west"), specs, 3 * SECOND / 2, 0.25, 10 * SECOND, 3.5, 2 * SECOND,
+                4 * SECOND / 5, 4, 0.15, 12 * SECOND, 4, 4 * SECOND / 5);
     }
 
     /** The same fleet behind so many gateways. */
@@ -104,8 +104,8 @@
         caps.put("retry_after", comeBack > 0);
         caps.put("max_retry_after_us", comeBack * MICROS);
         caps.put("streams_per_conn", 32L);
-        caps.put("connect_timeout_us", 250_000L);
-        caps.put("conn_idle_us", 30_000_000L);
+        caps.put("connect_timeout_us", 400_000L);
+        caps.put("conn_idle_us", 20_000_000L);
         Map<String, Object> guarantees = new LinkedHashMap<>();
         guarantees.put("drain_grace_us", drainGrace * MICROS);
         guarantees.put("extra_floor", extraFloor);
--- a/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
+++ b/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import tillerlink.fleet.Fleet;
 import tillerlink.trace.Layout;
 
 /** Everything that is wrong in an operator's file is told in one run, each with its line and column. */
@@ -204,6 +205,37 @@
         assertEquals(new Statements(List.of("north-1", "north-2", "south-1"), 30_000, 0.01, false), file.statements());
     }
 
+    /** What the example says of a fleet is what holds where it is left out, and a mark is kept for its track's hard stop. */
+    @Test
+    void theExampleSaysWhatHoldsWhereItIsLeftOut() throws IOException {
+        Fleet said = OperatorFile.read(Path.of("../deploy/operator.hcl")).fleet();
+        OperatorFile terse = read("""
+                fleet {
+                  zones = ["z"]
+                  kind "k" {
+                    cores     = 8
+                    memory_mb = 10
+                  }
+                  engines "e" {
+                    kind = "k"
+                    zone = "z"
+                  }
+                }
+                track "t" {
+                  effect         = "receipted"
+                  soft_limit_ms  = 10
+                  hard_stop_ms   = 70
+                  median_work_ms = 1
+                }
+                """);
+        Fleet left = terse.fleet();
+        assertEquals(said, new Fleet(left.gateways(), left.sockets(), said.kinds(), said.zones(), said.engines(),
+                left.notesEvery(), left.startCapacity(), left.warmWithin(), left.fallMultiple(), left.fall(),
+                left.drainGrace(), left.extraFloor(), left.furtherRatio(), left.budgetSpan(), left.attemptsMost(),
+                left.comeBack()));
+        assertEquals(700, terse.tracks().get(0).window());
+    }
+
     @Test
     void aSecretIsReadWhenServing() throws IOException {
         String file = folder.resolve("secret").toString();
--- a/standin/src/test/java/tillerlink/standin/StandInsTest.java
+++ b/standin/src/test/java/tillerlink/standin/StandInsTest.java
@@ -81,7 +81,7 @@
     @Test
     void theListIsReadAsItWasTold() {
         List<EngineEntry> list = List.of(
-                new EngineEntry("e1", "127.0.0.1", 5050, "east", "std-8", 3, Engine.Standing.READY, 1.5, 1_700_000_000_000L),
+                new EngineEntry("e1", "127.0.0.1", 5050, "east", "small-8", 3, Engine.Standing.READY, 1.5, 1_700_000_000_000L),
                 new EngineEntry("e2", "127.0.0.9", 5051, "west", "big-16", 0, Engine.Standing.DRAINING, 2, 0),
                 new EngineEntry("e3", "127.0.0.3", 5052, "west", "big-16", 0, Engine.Standing.GONE, 2, 0));
         byte[] answer = NameAnswer.to(0xabcd, NameAnswer.of(7, 70_001, list));
--- a/tools/src/main/java/tillerlink/explore/Player.java
+++ b/tools/src/main/java/tillerlink/explore/Player.java
@@ -27,8 +27,8 @@
     private static final long SECOND = 10_000;
     private static final List<Track> TRACKS = List.of(
             new Track("book", Effect.EFFECTFUL, 1, SECOND / 2, SECOND, 1, 0.5, List.of(), 0, 1, List.of()),
-            new Track("load", Effect.RECEIPTED, 1, SECOND / 2, SECOND, 1, 0.5, List.of(), 2 * SECOND, 1, List.of()),
-            new Track("sheet", Effect.PURE, 1, SECOND / 2, SECOND, 1, 0.5, List.of("std-8"), 0, 1, List.of()));
+            new Track("intake", Effect.RECEIPTED, 1, SECOND / 2, SECOND, 1, 0.5, List.of(), 2 * SECOND, 1, List.of()),
+            new Track("sheet", Effect.PURE, 1, SECOND / 2, SECOND, 1, 0.5, List.of("small-8"), 0, 1, List.of()));
 
     private final Fleet fleet;
     private final int submissions;
--- a/tools/src/test/java/tillerlink/replay/BlindStartTest.java
+++ b/tools/src/test/java/tillerlink/replay/BlindStartTest.java
@@ -35,7 +35,7 @@
     private static final List<Track> TRACKS = List.of(
             new Track("look", Effect.PURE, 1, SECOND, LONGEST, 1, 0.5, List.of(), 0, 1, List.of()),
             new Track("book", Effect.EFFECTFUL, 1, SECOND, LONGEST, 1, 0.5, List.of(), 0, 1, List.of()),
-            new Track("sheet", Effect.PURE, 1, SECOND, LONGEST, 1, 0.5, List.of("std-8"), 0, 1, List.of()));
+            new Track("sheet", Effect.PURE, 1, SECOND, LONGEST, 1, 0.5, List.of("small-8"), 0, 1, List.of()));
 
     /** Counts what each engine is sent. */
     private static final class Counted extends Auditor {
--- a/traces/src/main/java/tillerlink/workload/BuiltIn.java
+++ b/traces/src/main/java/tillerlink/workload/BuiltIn.java
@@ -13,7 +13,7 @@
     private BuiltIn() {
     }
 
-    /** Four: short pure looks, wide pure sheets for one kind of engine, receipted loads, effectful bookings. */
+    /** Four: short pure looks, wide pure sheets for one kind of engine, receipted intakes, effectful bookings. */
     public static List<Track> tracks(Layout layout) {
         return switch (layout.name()) {
             case "google-2011" -> of(List.of(Test.between("priority", 9, ANY), Test.between("scheduling_class", 0, 1)),
@@ -27,13 +27,13 @@
         };
     }
 
-    private static List<Track> of(List<Test> book, List<Test> load, List<Test> sheet) {
+    private static List<Track> of(List<Test> book, List<Test> intake, List<Test> sheet) {
         return List.of(
                 new Track("book", Effect.EFFECTFUL, 1, SECOND, 5 * SECOND, 4, 0.4, List.of(), 0, 1000, book),
-                new Track("load", Effect.RECEIPTED, 2, 3 * SECOND, 20 * SECOND, 6, 3.6, List.of(), 20 * SECOND, 5000,
-                        load),
-                new Track("sheet", Effect.PURE, 4, 2 * SECOND, 25 * SECOND, 5, 1.5, List.of("std-8"), 0, 6000, sheet),
-                new Track("look", Effect.PURE, 1, (long) (0.8 * SECOND), 4 * SECOND, 1, 0.1, List.of(), 0, 800,
-                        List.of()));
+                new Track("intake", Effect.RECEIPTED, 2, 4 * SECOND, 18 * SECOND, 4, 2, List.of(), 18 * SECOND, 5000,
+                        intake),
+                new Track("sheet", Effect.PURE, 3, 5 * SECOND / 2, 24 * SECOND, 3, 1.2, List.of("small-8"), 0, 6000,
+                        sheet),
+                new Track("look", Effect.PURE, 1, 9 * SECOND / 10, 9 * SECOND / 2, 1, 0.25, List.of(), 0, 800, List.of()));
     }
 }
