--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -86,7 +86,7 @@
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
-        // With no grace, or none stated, a drain is obeyed at once, and what is asked for is only how fresh the list is.
+        // With no grace, or none stated, a drain is obeyed at once; asked for is only how fresh the list is.
         names = new NameService(driver, assignment.seed(), now, stated(terms, "guarantees.drain_grace", soon));
         steering = factory.start(now, assignment.seed(), plain, this);
         discovery = new Discovery(engines, steering, recall);
@@ -104,7 +104,8 @@
         long shortest = Long.MAX_VALUE;
         for (int i = 0; i < terms.number("profiles", 0); i++) {
             String track = "profiles." + i + ".";
-            shortest = Math.min(shortest, stated(terms, track + "aim", stated(terms, track + "hard_limit", COUNT_EVERY)));
+            long hardStop = stated(terms, track + "hard_limit", COUNT_EVERY);
+            shortest = Math.min(shortest, stated(terms, track + "aim", hardStop));
         }
         return Math.min(shortest, COUNT_EVERY);
     }
--- a/operator/src/main/java/tillerlink/operator/TrackPart.java
+++ b/operator/src/main/java/tillerlink/operator/TrackPart.java
@@ -29,8 +29,8 @@
             double payoff = section.number("payoff", 1e-6, 1e9, 1);
             tracks.add(new Track(name, effect, (int) section.whole("threads", 1, 1024, 1), soft, hard, payoff,
                     section.number("late_payoff", 0, payoff, 0), section.texts("kinds", false),
-                    Math.round(section.number("mark_kept_ms", 0, 1e8, effect == Effect.RECEIPTED ? hard / Units.TENTHS_PER_MS : 0)
-                            * Units.TENTHS_PER_MS),
+                    Math.round(section.number("mark_kept_ms", 0, 1e8,
+                            effect == Effect.RECEIPTED ? hard / Units.TENTHS_PER_MS : 0) * Units.TENTHS_PER_MS),
                     section.number("median_work_ms", 0.1, 1e7, Units.NONE) * Units.TENTHS_PER_MS,
                     RowTests.read(section, "rows", List.of())));
             section.close();
