State the drain grace where the stand-ins' settings left it out

Cause: ServeTest and the storm's Papers state no drain grace and so were asked for their list every 500 ms, by a default that is gone; now it would be every soft limit, 5 s and 2 s there.

What the tests check is as it was.

--- a/storm/src/main/java/tillerlink/storm/process/Papers.java
+++ b/storm/src/main/java/tillerlink/storm/process/Papers.java
@@ -37,7 +37,8 @@
             json.writeEndObject();
             known(json);
             json.writeFieldName("settings");
-            json.writeRawValue("{\"tick_us\":5000,\"caps\":{\"max_attempts\":3,\"streams_per_conn\":16,"
+            json.writeRawValue("{\"tick_us\":5000,\"guarantees\":{\"drain_grace_us\":400000},"
+                    + "\"caps\":{\"max_attempts\":3,\"streams_per_conn\":16,"
                     + "\"connect_timeout_us\":500000,\"retry_after\":true,\"max_retry_after_us\":500000},"
                     + "\"models\":[\"std\"],\"zones\":[\"east\"],\"family_info\":{\"kind_cores\":[8]},\"profiles\":["
                     + track("look", "repeatable") + "," + track("book", "once") + "]}");
