--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -27,9 +27,6 @@
 public final class Gateway implements Orders, Carrier.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
-    private static final long CONNECT_MOST = 1000 * Units.TENTHS_PER_MS;
-    private static final long IDLE_MOST = 30_000 * Units.TENTHS_PER_MS;
-    private static final long GRACE = 500 * Units.TENTHS_PER_MS;
     private static final int HEAP_SHARE = 4;
     /** Connections, and the end, are looked after this often at the least. */
     private static final long SWEEP_MOST = 125 * Units.TENTHS_PER_MS;
@@ -46,7 +43,7 @@
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
     private final long connectMost;
-    /** What is looked after on connections falls due after halves and wholes of the connect time-out. */
+    /** What is looked after on connections falls due after halves and wholes of the connect time-out: an even part. */
     private final long sweepEvery;
     private final long idleMost;
     private final int linksMost;
@@ -82,25 +79,44 @@
         Map<String, Object> plain = PlainNames.of(assignment.terms());
         Named terms = new Named(plain);
         int streams = (int) Math.max(1, terms.number("caps.streams_per_conn", 1));
-        connectMost = terms.number("caps.connect_timeout", CONNECT_MOST);
-        long grace = terms.number("guarantees.drain_grace", GRACE);
-        sweepEvery = Math.max(1, Math.min(SWEEP_MOST, connectMost / 2));
-        idleMost = terms.number("caps.conn_idle", IDLE_MOST) / 2;
+        long soon = shortestSoftLimit(terms);
+        connectMost = stated(terms, "caps.connect_timeout", soon);
+        long half = connectMost / 2;
+        sweepEvery = Math.max(1, half / (1 + (half - 1) / SWEEP_MOST));
         linksMost = assignment.linksMost();
         countAt = now + COUNT_EVERY;
         clients = new ClientDoor(this, terms, assignment.clientsMost(), bytesMost);
+        // Engines that close nothing: whoever came before it fell idle waits no more.
+        idleMost = stated(terms, "caps.conn_idle", 2 * clients.longestHardStop()) / 2;
         guarded = new Guarded(this, clients);
         engines = new EngineList(terms, this, (owner, site, kind) -> {
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
-        names = new NameService(driver, assignment.seed(), now, grace);
+        // With no grace, or none stated, a drain is obeyed at once; asked for is only how fresh the list is.
+        names = new NameService(driver, assignment.seed(), now, stated(terms, "guarantees.drain_grace", soon));
         steering = factory.start(now, assignment.seed(), plain, this);
         discovery = new Discovery(engines, steering, recall);
         discovery.start(now, assignment.known());
         unsettled = true;
     }
 
+    private static long stated(Named terms, String name, long otherwise) {
+        long stated = terms.number(name, 0);
+        return stated > 0 ? stated : otherwise;
+    }
+
+    /** The measure of what the settings leave out: what takes longer earns nothing in full. */
+    private static long shortestSoftLimit(Named terms) {
+        long shortest = Long.MAX_VALUE;
+        for (int i = 0; i < terms.number("profiles", 0); i++) {
+            String track = "profiles." + i + ".";
+            long hardStop = stated(terms, track + "hard_limit", COUNT_EVERY);
+            shortest = Math.min(shortest, stated(terms, track + "aim", hardStop));
+        }
+        return Math.min(shortest, COUNT_EVERY);
+    }
+
     /** What stands beside the module from now on. */
     public void beside(Side stands) {
         side = stands;
