Let nothing that was given up go out later; count the descriptors that the process needs itself

Found by reading. EngineLink.giveUp wrote never_mind behind a hop of which part still waited here for a peer that does not read: it would go out when the peer reads again, long after its client had left. The same bound for a draining engine was half a connect time-out whatever the grace: it is the smaller of both now. A client that pipelines behind its poll was not read beyond 16 KB, so its close was not seen: a whole call is read while memory is not short. Node took the process' own descriptors for granted in what it shared out: it counts those in use and keeps 24. Two tests of whole processes guard idle clients that hold all they can and a log that can't be written; both pass on the text before, too.

--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -1,5 +1,6 @@
 package tillerlink.net.life;
 
+import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -20,6 +21,11 @@
 /** One gateway process: start, turns, drain, stop. */
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    /**
+     * Kept in reserve beside those that the process has open when it starts: two ways to the name service and one that is
+     * being replaced, the door, three selectors of three each, the configuration read again, and a few of the system's.
+     */
+    private static final int DESCRIPTORS_KEPT = 24;
 
     private final WallClock clock = new WallClock();
     private final Turns turns = new Turns(clock::now);
@@ -49,9 +55,11 @@
         Path path = Path.of(file);
         // From the first moment on, for a JVM that nobody told otherwise ends on this signal.
         boolean heard = onHangUp(() -> reload(path));
-        Assignment assignment = Assignment.read(path);
-        LOG.info("{} starts with {} engines known, {} descriptors", assignment.name(),
-                assignment.known().stream().mapToInt(news -> news.entries().size()).sum(), assignment.sockets());
+        Assignment told = Assignment.read(path);
+        int inUse = descriptorsInUse() + DESCRIPTORS_KEPT;
+        Assignment assignment = told.without(inUse);
+        LOG.info("{} starts with {} engines known, {} descriptors, {} of them kept", assignment.name(),
+                assignment.known().stream().mapToInt(news -> news.entries().size()).sum(), told.sockets(), inUse);
         try {
             new Rehearsal(assignment, modules, clock.now()).play();
         } catch (RuntimeException e) {
@@ -82,6 +90,12 @@
         }
     }
 
+    /** What files, pipes and sockets of its own the process has open; where the system does not tell, none is counted. */
+    private static int descriptorsInUse() {
+        String[] open = new File("/proc/self/fd").list();
+        return open == null ? 0 : open.length;
+    }
+
     /**
      * The JDK has no other way to hear of a signal; without this the process ends on it. False where the signal was
      * ignored when this process started, as under nohup: then the JVM goes on ignoring it and calls nobody.
--- a/gateway/src/main/java/tillerlink/net/state/Carrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -44,6 +44,9 @@
          */
         boolean roomForLink();
 
+        /** How long what must not go out later may wait here for a peer that does not read. */
+        long holdMost();
+
         /** How many engines are known. */
         int engines();
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientLink.java
@@ -21,8 +21,10 @@
     /** How long, and how much, is read and thrown away after a refusal: an early close might overtake it. */
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
     private static final int DISCARDED_MOST = 262_144;
-    /** More than this beside a call in hand, and nothing further is read until that is answered. */
+    /** More than this beside a call in hand, and nothing further is read until that is answered: so much of it as memory
+     * is short, else a whole call. Where nothing is read, its end is not seen either. */
     private static final int PIPELINED_MOST = 16_384;
+    private static final int PIPELINED_WITH_ROOM = 131_072 + PIPELINED_MOST;
 
     private final ClientDoor door;
     private final Pipe pipe;
@@ -157,7 +159,7 @@
             }
         }
         count(reader.waiting());
-        boolean hold = inHand && reader.waiting() > PIPELINED_MOST;
+        boolean hold = inHand && reader.waiting() > (door.full() ? PIPELINED_MOST : PIPELINED_WITH_ROOM);
         if (hold != held && !over) {
             held = hold;
             pipe.hold(hold);
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -38,6 +38,8 @@
     private boolean retired;
     /** Closed because it held back what must not go out any more. */
     private boolean dropped;
+    /** The last place among the writes of what was given up before all of it had gone out. */
+    private long givenUp;
     private long heardAt;
     /** When a hop was last sent over it. */
     private long sentAt;
@@ -82,9 +84,9 @@
      * nothing is heard is asked whether it works. If it does not say so, within one connect time-out in all, it takes
      * no more hops and a new connection is tried; if that fails as well, nobody is there, and the hops end in doubt.
      * If another connection to that engine works, this one alone is dead: its hops are over and their answers lost.
-     * The same holds for half an answer whose rest does not come. What still waits to go out to an engine that drains
-     * is never sent. It should hold against any cut; it may hurt where a
-     * network loses everything for half a second.
+     * The same holds for half an answer whose rest does not come. What still waits to go out to an engine that drains,
+     * or was given up, is never sent. It should hold against any cut; it may hurt where a network loses everything for
+     * half a second.
      */
     void sweep(long connectMost, long idleMost) {
         long now = gateway.now();
@@ -103,7 +105,7 @@
             write(EngineCommand.there(TAG));
         } else if (midwaySince > 0 && now >= midwaySince + connectMost) {
             end(Break.GARBLED);
-        } else if (!dropped && !site.ready() && holdsBack(now - connectMost / 2)) {
+        } else if (!dropped && (givenUp > writesDone || !site.ready() && holdsBack(now - gateway.holdMost()))) {
             // What went out of it is known once the connection has ended.
             dropped = true;
             retired = true;
@@ -199,6 +201,7 @@
     Outcome giveUp(Flight flight) {
         boolean sent = flight.place != Flight.UNSENT;
         if (sent && !over) {
+            givenUp = flight.pages == null && flight.place > writesDone ? flight.place : givenUp;
             write(EngineCommand.neverMind(flight.id()));
         }
         return Break.CLOSED_BY_US.outcome(sent);
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -46,6 +46,7 @@
     /** What is looked after on connections falls due after halves and wholes of the connect time-out: an even part. */
     private final long sweepEvery;
     private final long idleMost;
+    private final long holdMost;
     private final int linksMost;
     private int links;
     private long now;
@@ -94,7 +95,9 @@
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
         // With no grace, or none stated, a drain is obeyed at once; asked for is only how fresh the list is.
-        names = new NameService(driver, assignment.seed(), now, stated(terms, "guarantees.drain_grace", soon));
+        long grace = stated(terms, "guarantees.drain_grace", soon);
+        holdMost = Math.min(grace, connectMost) / 2;
+        names = new NameService(driver, assignment.seed(), now, grace);
         steering = factory.start(now, assignment.seed(), plain, this);
         discovery = new Discovery(engines, steering, recall);
         discovery.start(now, assignment.known());
@@ -282,6 +285,11 @@
         return links < linksMost || engines.endIdle();
     }
 
+    @Override
+    public long holdMost() {
+        return holdMost;
+    }
+
     @Override
     public int engines() {
         return engines.size();
--- a/gateway/src/main/java/tillerlink/net/wire/Assignment.java
+++ b/gateway/src/main/java/tillerlink/net/wire/Assignment.java
@@ -29,12 +29,17 @@
 
     /** Two fifths of the descriptors are for clients: these hold a third at most. */
     public int clientsMost() {
-        return sockets * 2 / 5;
+        return Math.max(1, sockets * 2 / 5);
     }
 
-    /** A third is for engines; the process itself and a burst of newcomers have the rest. */
+    /** A third is for engines; a burst of newcomers has the rest. */
     public int linksMost() {
-        return sockets / 3;
+        return Math.max(1, sockets / 3);
+    }
+
+    /** Of its descriptors so many are in use for other things. */
+    public Assignment without(int inUse) {
+        return new Assignment(name, listen, resolver, seed, Math.max(1, sockets - inUse), terms, known);
     }
 
     /** @throws IOException if it can't be read or is not what it should be; the message says what */
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -202,6 +202,17 @@
         s.matches("net-partial");
     }
 
+    /** Guards engines that read nothing for a while: what was given up meanwhile is not there for them to read later. */
+    @Test
+    void givenUpWhileItWaitsToGoOut() {
+        Stage s = new Stage().post("c1", ID, "look").get("c1", ID).stuck().connected(0).pass(100);
+        s.say("the client leaves; the engine has read nothing").client("c2", "DELETE /v1/calls/" + ID + " HTTP/1.1\r\nHost: a\r\n\r\n")
+                .pass(150).ends(0, Break.RESET);
+        s.say("one that has read all").letGo().post("c3", "00000000000000a2", "look").get("c3", "00000000000000a2").connected(1)
+                .client("c4", "DELETE /v1/calls/00000000000000a2 HTTP/1.1\r\nHost: a\r\n\r\n").pass(200);
+        s.matches("net-given-up");
+    }
+
     @Test
     void drained() {
         Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0).say("told to end").drain();
--- a/gateway/src/test/java/tillerlink/net/life/ShutdownTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/ProcessTest.java
@@ -1,8 +1,10 @@
 package tillerlink.net.life;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -10,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -21,9 +24,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import tillerlink.net.life.Loopback.Peer;
 
-/** Tells a whole process to end while something is owed; what is said next waits for what was seen. */
+/** A whole process, told to end while something is owed or short of what it needs; what is said waits for what was seen. */
 @Timeout(120)
-class ShutdownTest {
+class ProcessTest {
     private static final String ONE = "00000000000000a1";
     private static final String TWO = "00000000000000a2";
     private static final String ROWS = "{\"records\":[]}";
@@ -38,9 +41,13 @@
     private int port;
 
     @BeforeEach
-    void start() throws IOException {
+    void engine() throws IOException {
         engines = new ServerSocket(0, 50, HERE);
         engines.setSoTimeout(Loopback.PATIENCE_MS);
+    }
+
+    /** @param under what the process is started by, if not as it is; its log goes there */
+    private void start(File log, int descriptors, String... under) throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, HERE)) {
             port = free.getLocalPort();
         }
@@ -49,15 +56,17 @@
         String track = "{\"name\":\"look\",\"semantics\":\"repeatable\",\"group\":\"all\",\"aim_us\":2000000,\"hard_limit_us\":9000000,"
                 + "\"worth\":1,\"late_worth\":0.5}";
         Path file = Files.writeString(folder.resolve("configuration.json"), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"resolver\":\"127.0.0.1:9\",\"known\":{\"index\":1,"
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + descriptors + "},\"resolver\":\"127.0.0.1:9\",\"known\":{\"index\":1,"
                 + "\"updates\":[{\"index\":1,\"endpoints\":{\"snapshot\":true,\"endpoints\":[" + entry + "]}}]},\"settings\":{"
                 + "\"tick_us\":5000,\"caps\":{\"max_attempts\":2,\"streams_per_conn\":8,\"connect_timeout_us\":250000,\"may_cancel\":true},"
                 + "\"models\":[\"std\"],\"zones\":[\"east\"],\"guarantees\":{\"drain_grace_us\":400000},"
                 + "\"family_info\":{\"kind_cores\":[8],\"tells_every_us\":9000000},\"profiles\":[" + track + "]}}");
-        ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        List<String> line = new ArrayList<>(List.of(under));
+        line.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "tillerlink.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().put("EDGE_CONFIG", file.toString());
-        process = builder.redirectError(folder.resolve("log").toFile()).start();
+        process = builder.redirectError(log).start();
         Loopback.await(() -> {
             try (Socket socket = new Socket(HERE, port)) {
                 return socket.isConnected();
@@ -79,6 +88,7 @@
      */
     @Test
     void whatIsHalfReadAtTheEndIsRefusedAndWhatRestsEnds() throws Exception {
+        start(folder.resolve("log").toFile(), 1024);
         Peer rests = client();
         rests.say("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
         rests.heard("{}");
@@ -110,6 +120,7 @@
     /** Guards clients of engines that all hang: each hears before the process is killed, whatever else it is told. */
     @Test
     void whatHangsAtTheEndIsAnswered() throws Exception {
+        start(folder.resolve("log").toFile(), 1024);
         Peer waits = client();
         waits.post(ONE, "look", 8000);
         waits.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
@@ -127,6 +138,42 @@
         gone("0 requests without an answer");
     }
 
+    /** Guards usual clients against idle ones that hold all descriptors they can get, while nobody tells of engines. */
+    @Test
+    void idleClientsHoldAllTheyCan() throws Exception {
+        start(folder.resolve("log").toFile(), 72, "sh", "-c", "ulimit -n 72; exec \"$@\"", "sh");
+        List<Peer> idle = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            idle.add(client());
+        }
+        served();
+        assertFalse(Files.readString(folder.resolve("log")).contains("Too many open files"));
+        for (Peer one : idle) {
+            one.close();
+        }
+    }
+
+    /** Guards against taking a log that can't be written for a reason not to serve. */
+    @Test
+    void whoseLogCannotBeWritten() throws Exception {
+        start(new File("/dev/full"), 1024);
+        served();
+        process.destroy();
+        assertTrue(process.waitFor(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(TERMINATED, process.exitValue());
+    }
+
+    private void served() throws Exception {
+        Peer waits = client();
+        waits.post(ONE, "look", 8000);
+        waits.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
+        waits.get(ONE);
+        Engine engine = new Engine(engines.accept());
+        assertEquals(ONE, engine.wanted());
+        engine.say(ONE + " ok count=1 0\r\n\r\n");
+        waits.heard(ROWS);
+    }
+
     private Peer client() throws IOException {
         Socket socket = new Socket(HERE, port);
         socket.setTcpNoDelay(true);
--- a/http2/src/main/java/tillerlink/net/http2/H2Link.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Link.java
@@ -433,7 +433,7 @@
             boolean held = !whole(ride) && !ride.flight.begun() && !site.ready();
             if (held && ride.place == Long.MAX_VALUE) {
                 finish(ride, StreamEnd.WITHDRAWN);
-            } else if (held && now >= ride.flight.hop.sentAt + connectMost / 2) {
+            } else if (held && now >= ride.flight.hop.sentAt + owner.holdMost()) {
                 // What went out of it is known once the connection has ended.
                 retired = true;
                 pipe.drop();
