Keep a lease until no engine can be at a hop that was written under it

Cause: a process that had been stopped gave all its leases back at once, also those that a hop was out under, and nothing told a hop that ended from one that is over here while its engine may be at it. Change: a hop that ends in doubt keeps its groups' leases up to its limit and one lease more, after which it is forgotten; a pause drops leases without giving back what a hop is out under, and that is given back when the hop ended. A process that ends gives back what no hop is out under, and tells whoever waits for word of a request. A turn is due when the last hop that kept a lease has ended. Two faults are planted.

--- a/statements/src/main/java/tillerlink/statements/Requests.java
+++ b/statements/src/main/java/tillerlink/statements/Requests.java
@@ -78,6 +78,13 @@
         }
     }
 
+    /** No more turn comes: nobody here will hear what became of what waits. */
+    void end(long now) {
+        while (!waiting.isEmpty()) {
+            next(now, Outcome.unknown("this gateway ends before it heard what became of it"));
+        }
+    }
+
     long dueAt() {
         return waiting.isEmpty() ? Long.MAX_VALUE : Math.min(againAt, waiting.peek().until);
     }
--- a/statements/src/main/java/tillerlink/statements/Statements.java
+++ b/statements/src/main/java/tillerlink/statements/Statements.java
@@ -259,13 +259,24 @@
         return new Permission.No(why, words, comeBack);
     }
 
-    /** A hop of it was written: leases are not given back early before it ended. */
+    /** A hop of it is written: leases are not given back early before it ended. */
     public void began(Prepared prepared) {
         prepared.definition().groups().forEach(group -> holding.running(group, 1));
     }
 
-    public void ended(Prepared prepared) {
-        prepared.definition().groups().forEach(group -> holding.running(group, -1));
+    /**
+     * A hop that began is over here, and its engine may still be at it.
+     *
+     * @param mayRunUntil up to when, at the most; 0 if it surely is not
+     */
+    public void ended(long at, Prepared prepared, long mayRunUntil) {
+        now = Math.max(now, at);
+        for (int group : prepared.definition().groups()) {
+            if (mayRunUntil > 0) {
+                holding.inDoubt(now, group, mayRunUntil);
+            }
+            holding.running(group, -1);
+        }
     }
 
     // ---- how it stands ----
@@ -425,6 +436,16 @@
         }
     }
 
+    /**
+     * This process ends, nothing is written any more: who waits for word of a request is told that none came, and leases
+     * are given back, but for those that a hop may be out under.
+     */
+    public void leave(long at) {
+        now = Math.max(now, at);
+        requests.end(now);
+        holding.leave(now);
+    }
+
     /** For a reader of the log: names and what stands under them. */
     public List<String> names() {
         return new ArrayList<>(catalog.statements().keySet());
--- a/statements/src/main/java/tillerlink/statements/lease/Holding.java
+++ b/statements/src/main/java/tillerlink/statements/lease/Holding.java
@@ -42,8 +42,15 @@
         final Granted[] grants;
         long version;
         long wantedAt;
+        /** Hops that run under a lease on it and are out. */
         int running;
+        /** Up to when an engine may still be at a hop that is over here; 0 if at none. */
+        long doubtUntil;
         boolean held;
+        /** Grants were dropped that voters may still count: they are given back when no hop is out any more. */
+        boolean owed;
+        /** A change asks for it, and a hop that may be out keeps it from being given back. */
+        boolean waits;
         /** When it is given back once more, as word of it may have been lost; and up to when. */
         long giveAgainAt = Long.MAX_VALUE;
         long giveUntil;
@@ -51,6 +58,21 @@
         Group(int voters) {
             grants = new Granted[voters];
         }
+
+        /** Whether a hop that was written under a lease on it may still be at an engine. */
+        boolean mayBeOut() {
+            return running > 0 || doubtUntil > 0;
+        }
+
+        /** @return whether there were any, here or as voters see it */
+        boolean dropGrants() {
+            boolean some = owed;
+            for (int i = 0; i < grants.length; i++) {
+                some |= grants[i] != null;
+                grants[i] = null;
+            }
+            return some;
+        }
     }
 
     private final LeaseTerms lease;
@@ -67,6 +89,8 @@
     private long heardAt = Long.MIN_VALUE / 2;
     private long losses;
     private long endsNext = Long.MAX_VALUE;
+    /** The last hop ended that kept a lease from being given back. */
+    private boolean freed;
 
     public Holding(LeaseTerms lease, Terms terms, Voters voters, Outbox out, RandomGenerator random) {
         this.lease = lease;
@@ -139,11 +163,25 @@
         return count * 2 > voters.count();
     }
 
-    /** A hop that runs under a lease on the group was written, or ended: leases are given back when none is out. */
+    /** A hop that runs under a lease on the group is written, or ended: leases are given back when none is out. */
     public void running(int group, int by) {
         Group it = groups.get(group);
-        if (it != null) {
+        if (it != null && !terms.has(Plant.GIVES_BACK_WITH_HOPS_OUT)) {
+            Invariant.holds(it.running + by >= 0, () -> "more hops of group " + group + " ended than began");
             it.running = Math.max(0, it.running + by);
+            freed |= it.running == 0 && it.waits;
+        }
+    }
+
+    /**
+     * A hop that runs under a lease on the group is over here, and an engine may still be at it: to be told before it
+     * counts as ended. An engine stops at the limit that it was told, by its own clock and from when the hop came to it;
+     * so a whole lease is added, which a change that is announced waits for at the most.
+     */
+    public void inDoubt(long now, int group, long mayRunUntil) {
+        Group it = groups.get(group);
+        if (it != null && !terms.has(Plant.GIVES_BACK_WITH_HOPS_OUT) && !terms.has(Plant.TRUSTS_ENDINGS)) {
+            it.doubtUntil = Math.max(it.doubtUntil, Math.max(now, mayRunUntil) + lease.kept());
         }
     }
 
@@ -159,7 +197,7 @@
         TreeMap<Integer, Long> some = new TreeMap<>();
         for (Iterator<Map.Entry<Integer, Group>> each = groups.entrySet().iterator(); each.hasNext();) {
             Map.Entry<Integer, Group> one = each.next();
-            if (now - one.getValue().wantedAt > WANTED && one.getValue().running == 0) {
+            if (now - one.getValue().wantedAt > WANTED && !one.getValue().mayBeOut()) {
                 each.remove();
             } else if (!catalog.blocked(one.getKey())) {
                 some.put(one.getKey(), one.getValue().version);
@@ -177,20 +215,28 @@
         }
     }
 
-    /** What a change asks for is given back as soon as no hop that runs under it is out. */
+    /** What a change asks for is given back as soon as no hop that runs under it may be out. */
     private void giveBack(long now, Catalog catalog) {
+        freed = false;
         List<Integer> some = new ArrayList<>();
         groups.forEach((group, it) -> {
-            boolean holds = Arrays.stream(it.grants).anyMatch(granted -> granted != null);
+            it.doubtUntil = it.doubtUntil > now ? it.doubtUntil : 0;
+            it.waits = false;
+            boolean holds = it.owed || Arrays.stream(it.grants).anyMatch(granted -> granted != null);
             if (it.version != catalog.version(group)) {
                 it.version = catalog.version(group);
-                Arrays.fill(it.grants, null);
+                it.owed = false;
+                it.dropGrants();
                 askAt = Math.min(askAt, now);
-            } else if (holds && it.running == 0 && catalog.blocked(group)) {
-                Arrays.fill(it.grants, null);
+            } else if (holds && !it.mayBeOut() && catalog.blocked(group)) {
+                it.owed = false;
+                it.dropGrants();
                 some.add(group);
                 it.giveAgainAt = now + GIVE_AGAIN;
                 it.giveUntil = now + lease.length();
+            } else if (holds && catalog.blocked(group)) {
+                it.waits = true;
+                it.giveAgainAt = Long.MAX_VALUE;
             } else if (now >= it.giveAgainAt) {
                 boolean again = !holds && catalog.blocked(group) && now < it.giveUntil;
                 it.giveAgainAt = again ? now + GIVE_AGAIN : Long.MAX_VALUE;
@@ -232,8 +278,12 @@
     }
 
     public long dueAt() {
-        return groups.values().stream().mapToLong(it -> it.giveAgainAt).reduce(
-                groups.isEmpty() ? Long.MAX_VALUE : Math.min(askAt, endsNext), Math::min);
+        long due = groups.isEmpty() ? Long.MAX_VALUE : freed ? Long.MIN_VALUE : Math.min(askAt, endsNext);
+        for (Group it : groups.values()) {
+            due = Math.min(due, it.giveAgainAt);
+            due = it.doubtUntil > 0 ? Math.min(due, it.doubtUntil) : due;
+        }
+        return due;
     }
 
     public void granted(long now, String from, Lease answer) {
@@ -261,18 +311,36 @@
 
     // ---- what ends them ----
 
-    /** This process did nothing for a while: all leases are dropped, and given back. */
+    /** This process did nothing for a while: all leases are dropped, and given back where no hop may be out. */
     public void away(long now) {
         if (terms.has(Plant.TRUSTS_AFTER_PAUSE)) {
             return;
         }
-        groups.values().forEach(it -> Arrays.fill(it.grants, null));
-        if (!groups.isEmpty()) {
-            release(List.copyOf(groups.keySet()));
-        }
+        asks.clear();
+        giveBackFree(now);
         askAt = now;
     }
 
+    /** This process ends: nothing is written any more. What a hop may still be out under runs out by itself. */
+    public void leave(long now) {
+        giveBackFree(now);
+    }
+
+    private void giveBackFree(long now) {
+        List<Integer> free = new ArrayList<>();
+        groups.forEach((group, it) -> {
+            it.doubtUntil = it.doubtUntil > now ? it.doubtUntil : 0;
+            boolean had = it.dropGrants();
+            it.owed = had && it.mayBeOut();
+            if (!it.mayBeOut()) {
+                free.add(group);
+            }
+        });
+        if (!free.isEmpty()) {
+            release(free);
+        }
+    }
+
     /** A change took effect: by now no lease under the schemas before it may be alive here. */
     public void tookEffect(long now, List<Integer> changed) {
         for (int group : changed) {
--- a/statements/src/main/java/tillerlink/statements/plant/Plant.java
+++ b/statements/src/main/java/tillerlink/statements/plant/Plant.java
@@ -24,6 +24,10 @@
     EFFECT_UNASKED,
     /** A gateway trusts its leases after a pause. */
     TRUSTS_AFTER_PAUSE,
+    /** A gateway gives leases back though a hop that runs under them is out. */
+    GIVES_BACK_WITH_HOPS_OUT,
+    /** A gateway takes every hop that is over here for one that its engine is no longer at. */
+    TRUSTS_ENDINGS,
     /** A voter from an old disk takes part without asking what others saw of it. */
     TRUSTS_OLD_DISK,
     /** A follower doesn't compare the entry before. */
--- a/statements/src/test/java/tillerlink/statements/History.java
+++ b/statements/src/test/java/tillerlink/statements/History.java
@@ -36,6 +36,7 @@
         voterCount = random.nextInt(4) == 0 ? 5 : 3;
         town = new Town(seed, voterCount, 2 + random.nextInt(3), plants);
         town.leaseLength = 10 * (300 + random.nextInt(1500));
+        town.inDoubt = 0.02;
     }
 
     /** A short one, of a fleet of a stated size. */
@@ -44,6 +45,7 @@
         voterCount = voters;
         town = new Town(seed, voters, others);
         town.leaseLength = 10 * (300 + random.nextInt(1000));
+        town.inDoubt = 0.02;
     }
 
     private <T> T any(List<T> of) {
