Tell guards when hops began and ended, and up to when their engines may be at them

Cause: the gateway's door never told the one beside it when hops end, so a lease was given back on an announced change though a hop of it was out at an engine. Change: a guard hears of each hop that is handed over to be written, and once of its end. Every ending passes through Guarded.ended, before anything is made of the outcome: where that leaves doubt (severed, called off, overdue, spoilt) and no page had come, the engine may be at it until the limit that it was told. The question before a hop is placed is another than the one before it is written. Runs of prepared statements hand both on.

--- a/gateway/src/main/java/tillerlink/net/state/Flight.java
+++ b/gateway/src/main/java/tillerlink/net/state/Flight.java
@@ -19,6 +19,8 @@
     int missing;
     /** Bytes of the pages that have come. */
     int bytes;
+    /** Its guard was told that it is out. */
+    boolean began;
     /** It was not written, for its guard did not hold. */
     boolean refused;
     /** Its guard held after all of it was written. */
@@ -51,9 +53,18 @@
         return call.ask.statement();
     }
 
+    /** Asked before it is handed to a carrier; if not, it ends as one that was never sent. */
+    boolean mayBePlaced() {
+        refused = call.guard != null && !call.guard.holds();
+        return !refused;
+    }
+
     /** Asked by whoever writes it, right before; if not, it ends as one that was never sent. */
     public boolean mayGo() {
-        refused = call.guard != null && !call.guard.holds();
+        if (mayBePlaced() && call.guard != null && !began) {
+            began = true;
+            call.guard.began();
+        }
         return !refused;
     }
 
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -279,7 +279,7 @@
         Call call = (Call) hop.submission.tag;
         Flight flight = new Flight(hop, call);
         call.flights.add(flight);
-        if (flight.mayGo()) {
+        if (flight.mayBePlaced()) {
             carrier(flight).send(flight);
         } else {
             next.add(() -> ended(flight, Outcome.NEVER_SENT));
--- a/gateway/src/main/java/tillerlink/net/state/Guarded.java
+++ b/gateway/src/main/java/tillerlink/net/state/Guarded.java
@@ -61,6 +61,9 @@
 
     /** What a hop's end counts as. The answer of one that was written too late, or may have been, is lost. */
     Outcome ended(Flight flight, Outcome outcome) {
+        if (flight.began) {
+            flight.call.guard.ended(mayRunUntil(flight, outcome));
+        }
         if (flight.refused) {
             withdraw(flight.call);
         } else if (outcome == Outcome.FULFILLED) {
@@ -76,6 +79,15 @@
         return outcome;
     }
 
+    /**
+     * Up to when its engine may still be at a hop that began. One of which pages have come has run, whatever became of
+     * the rest.
+     */
+    private static long mayRunUntil(Flight flight, Outcome outcome) {
+        boolean over = !outcome.leavesDoubt || flight.pages != null || flight.begun();
+        return over ? 0 : flight.call.submission.leavesAt;
+    }
+
     /** The client is told at once, for it can't be fulfilled as it is; the module calls off what is still out. */
     private void withdraw(Call call) {
         open.remove(call);
--- a/gateway/src/main/java/tillerlink/net/state/Side.java
+++ b/gateway/src/main/java/tillerlink/net/state/Side.java
@@ -56,6 +56,17 @@
 
         /** How long the client should stay away once it does not; 0 means no advice. */
         long comeBack();
+
+        /** It was found to hold and a hop is handed over to be written, in the same turn: it may be out from now on. */
+        void began();
+
+        /**
+         * A hop that began is over here; told once for each.
+         *
+         * @param mayRunUntil up to when its engine may still be at it, by the limit that it was told; 0 if it surely is
+         *                    not: it answered, or it never got the hop whole
+         */
+        void ended(long mayRunUntil);
     }
 
     /** What it may ask of its gateway. */
--- a/gateway/src/test/java/tillerlink/SideTest.java
+++ b/gateway/src/test/java/tillerlink/SideTest.java
@@ -23,6 +23,8 @@
         /** What the guard answers next; then that it holds. */
         private final ArrayDeque<Boolean> answers = new ArrayDeque<>();
         private final List<String> turns = new ArrayList<>();
+        /** What the guard was told of its hops. */
+        private final List<String> told = new ArrayList<>();
 
         Aside(Door door) {
             this.door = door;
@@ -78,6 +80,16 @@
         public long comeBack() {
             return 2000;
         }
+
+        @Override
+        public void began() {
+            told.add("began");
+        }
+
+        @Override
+        public void ended(long mayRunUntil) {
+            told.add(mayRunUntil == 0 ? "over" : "may run until " + (mayRunUntil - Stage.START) / 10);
+        }
     }
 
     private Aside aside;
@@ -134,6 +146,40 @@
         s.matches("side-guards");
     }
 
+    private void told(String what, Stage s, String... wanted) {
+        assertEquals(List.of(wanted), aside.told, what);
+    }
+
+    private Stage out(Boolean... answers) {
+        return stage(new Stage(), answers).post("c1", ID, "aside/book").get("c1", ID);
+    }
+
+    private static final String DONE = ID + " ok count=1 0||";
+
+    /** Every ending of a hop that was written, and whether its engine may still be at it. */
+    @Test
+    void endsAreTold() {
+        told("answered", out().connected(0).engine(0, DONE), "began", "over");
+        told("its engine erred", out().connected(0).engine(0, ID + " error - 0||"), "began", "over");
+        told("of two pages one came, and the client's time is up", out().connected(0).engine(0, ID + " ok count=2 0||").pass(5000),
+                "began", "over");
+        told("not written yet", out(), new String[0]);
+        told("the guard does not hold", out(false), new String[0]);
+        told("the guard does not hold once the connection is up", out(true, false).connected(0), new String[0]);
+        told("never connected", out().ends(0, Break.REFUSED).ends(1, Break.REFUSED), new String[0]);
+        told("the connection broke", out().connected(0).ends(0, Break.RESET), "began", "may run until 4500");
+        told("the connection broke before it was written whole", out().stuck().connected(0).ends(0, Break.RESET), "began", "over");
+        told("the guard does not hold after the write", out(true, true, false).connected(0), "began", "may run until 4500");
+        told("it does not hold any more when the answer is there", out(true, true, false).stuck().connected(0).engine(0, DONE),
+                "began", "over");
+        told("the client goes", out().connected(0).client("c2", "DELETE /v1/calls/" + ID + " HTTP/1.1\r\nHost: a\r\n\r\n"),
+                "began", "may run until 4500");
+        told("the client's time is up", out().connected(0).pass(5000), "began", "may run until 4500");
+        told("the process ends", out().connected(0).timeUp(), "began", "may run until 4500");
+        told("a pure one goes to another engine", stage(new Stage()).post("c1", ID, "aside/look").get("c1", ID).connected(0)
+                .ends(0, Break.RESET).connected(1).engine(1, DONE), "began", "may run until 4500", "began", "over");
+    }
+
     /** Held submissions hear of it at once and not only when their turn comes. */
     @Test
     void heldOnes() {
--- a/gateway/src/test/java/tillerlink/Stage.java
+++ b/gateway/src/test/java/tillerlink/Stage.java
@@ -22,7 +22,7 @@
 /** A driver that prints. Times are milliseconds; in what engines say, | is a line's end. */
 final class Stage implements Driver {
     private static final int TENTHS = 10;
-    private static final long START = 17_000_000_000_000L;
+    static final long START = 17_000_000_000_000L;
 
     private final StringBuilder printed = new StringBuilder();
     private final List<Printed> dialed = new ArrayList<>();
--- a/peering/src/main/java/tillerlink/peering/WatchedDoor.java
+++ b/peering/src/main/java/tillerlink/peering/WatchedDoor.java
@@ -15,6 +15,16 @@
         public long comeBack() {
             return watchdog.get(guard::comeBack);
         }
+
+        @Override
+        public void began() {
+            watchdog.run(guard::began);
+        }
+
+        @Override
+        public void ended(long mayRunUntil) {
+            watchdog.run(() -> guard.ended(mayRunUntil));
+        }
     }
 
     @Override
--- a/peering/src/main/java/tillerlink/peering/statements/RunGuard.java
+++ b/peering/src/main/java/tillerlink/peering/statements/RunGuard.java
@@ -34,4 +34,14 @@
     public long comeBack() {
         return comeBack;
     }
+
+    @Override
+    public void began() {
+        statements.began(prepared);
+    }
+
+    @Override
+    public void ended(long mayRunUntil) {
+        statements.ended(clock.getAsLong(), prepared, mayRunUntil);
+    }
 }
--- a/tools/src/test/java/tillerlink/replay/GuardedHistoriesTest.java
+++ b/tools/src/test/java/tillerlink/replay/GuardedHistoriesTest.java
@@ -31,6 +31,8 @@
 class GuardedHistoriesTest {
     private static final long START = 17_000_000_000_000L;
     private static final int SUBMISSIONS = 6;
+    /** After the last answer, for hops that are called off: tenths of a millisecond. */
+    private static final long SETTLE = 20;
     private static final List<Track> TRACKS = List.of(
             new Track("book", Effect.EFFECTFUL, 1, 10_000, 20_000, 1, 0.5, List.of(), 0, 1, List.of()),
             new Track("load", Effect.RECEIPTED, 1, 10_000, 20_000, 1, 0.5, List.of(), 30_000, 1, List.of()),
@@ -80,6 +82,9 @@
         private boolean valid = true;
         private boolean asked;
         private boolean ceasedAfterAsking;
+        /** Hops that began and did not end. */
+        private int out;
+        private boolean endedTooOften;
 
         Fickle(Random random, Planted planted) {
             this.random = random;
@@ -101,6 +106,17 @@
         public long comeBack() {
             return 3000;
         }
+
+        @Override
+        public void began() {
+            out++;
+        }
+
+        @Override
+        public void ended(long mayRunUntil) {
+            out--;
+            endedTooOften |= out < 0;
+        }
     }
 
     /** Takes every call of a track, and hands it in under a guard of its own. */
@@ -175,6 +191,9 @@
         while (figures.arrived() < SUBMISSIONS || front.open() > 0) {
             world.timeline.step();
         }
+        world.timeline.follow(world.timeline.now() + SETTLE);
+        watching.guards.forEach((id, guard) -> watching.wrong.append(guard.out == 0 && !guard.endedTooOften ? "" : id
+                + " has hops that began and did not end, or the other way round; "));
         watching.breaches().forEach(breach -> watching.wrong.append(breach.rule()).append(' ').append(breach.what()).append("; "));
         if (!figures.addsUp()) {
             watching.wrong.append("submissions do not add up; ");
