Pay what a gateway owes before its process ends: leases, and clients whose requests wait

Cause: a process that left as told kept its leases, so that the next change of their groups waited for them; and a client whose request had no majority yet lost its connection without an answer. Change: when time is up the parts answer what waits (a prepared statement's request, an append: Unknown, as ever asking again is safe), before what is left of submissions is broken off; after the last turn the statements give back each lease that no hop may be out under. Datagrams go out with the call.

--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -347,6 +347,9 @@
 
     /** Time is up: what is left is broken off, which promises nothing and so is always allowed. */
     public void breakOffAll() {
+        if (side != null) {
+            side.timeUp();
+        }
         for (Call call : clients.owed()) {
             clients.breakOff(call);
             left(call);
--- a/gateway/src/main/java/tillerlink/net/state/Side.java
+++ b/gateway/src/main/java/tillerlink/net/state/Side.java
@@ -31,7 +31,10 @@
     /** The process was told to end; turns go on for some time. */
     void drain();
 
-    /** The last turn is over; what was handed to the disk may still be waited for. */
+    /** Time is up: clients that still wait for an answer of its own get one now, for their connections end. */
+    void timeUp();
+
+    /** The last turn is over, nothing is written to engines or clients any more; what was handed to the disk may still be waited for. */
     void close();
 
     /**
--- a/gateway/src/test/java/tillerlink/SideTest.java
+++ b/gateway/src/test/java/tillerlink/SideTest.java
@@ -66,6 +66,11 @@
             turns.add("drain");
         }
 
+        @Override
+        public void timeUp() {
+            turns.add("time up");
+        }
+
         @Override
         public void close() {
             turns.add("close");
@@ -114,8 +119,8 @@
 
     @Test
     void itsPlaceInATurn() {
-        stage(new Stage()).client("c1", "GET /v1/later HTTP/1.1\r\nHost: a\r\n\r\n").drain();
-        assertEquals(List.of("begin", "called", "settle", "drain"), aside.turns.stream().distinct().toList());
+        stage(new Stage()).client("c1", "GET /v1/later HTTP/1.1\r\nHost: a\r\n\r\n").drain().timeUp();
+        assertEquals(List.of("begin", "called", "settle", "drain", "time up"), aside.turns.stream().distinct().toList());
     }
 
     /** Each point at which a guard may cease to hold, on a track that may run twice and on one that must not. */
--- a/peering/src/main/java/tillerlink/peering/Peering.java
+++ b/peering/src/main/java/tillerlink/peering/Peering.java
@@ -257,8 +257,15 @@
         watched(() -> parts.forEach(part -> part.drain(now, wall())));
     }
 
+    @Override
+    public void timeUp() {
+        watched(() -> parts.forEach(part -> part.timeUp(now, wall())));
+    }
+
+    /** What parts say last goes out with the call, as all datagrams do. */
     @Override
     public void close() {
+        watched(() -> parts.forEach(part -> part.close(now, wall())));
         datagrams.close();
         if (keep instanceof DiskKeep disk) {
             try {
--- a/peering/src/main/java/tillerlink/peering/channels/ChannelsDoor.java
+++ b/peering/src/main/java/tillerlink/peering/channels/ChannelsDoor.java
@@ -115,9 +115,18 @@
         return new HttpAnswer(200, ChannelsJson.taken((Appended.Taken) appended), 0, false);
     }
 
+    @Override
+    public void timeUp(long now, long wall) {
+        answerUntil(Long.MAX_VALUE);
+    }
+
     @Override
     public void settled(long now, long wall) {
-        while (!owed.isEmpty() && (owed.peek().done || owed.peek().until <= now)) {
+        answerUntil(now);
+    }
+
+    private void answerUntil(long due) {
+        while (!owed.isEmpty() && (owed.peek().done || owed.peek().until <= due)) {
             owed.poll().answer(new HttpAnswer(503, ChannelsJson.problem("Unknown",
                     "it is not kept yet; ask again with its key"), 1000, false));
         }
--- a/peering/src/main/java/tillerlink/peering/part/Attached.java
+++ b/peering/src/main/java/tillerlink/peering/part/Attached.java
@@ -32,4 +32,14 @@
     default void drain(long now, long wall) {
         // Whoever owes nothing has nothing to say.
     }
+
+    /** The process goes now: every call that waits is answered, or its client hears nothing any more. */
+    default void timeUp(long now, long wall) {
+        // Whoever answers at once owes nothing.
+    }
+
+    /** No turn follows, and no hop goes out: the last messages to others. */
+    default void close(long now, long wall) {
+        // Whoever holds nothing has nothing to give back.
+    }
 }
--- a/peering/src/main/java/tillerlink/peering/statements/StatementsDoor.java
+++ b/peering/src/main/java/tillerlink/peering/statements/StatementsDoor.java
@@ -69,6 +69,16 @@
         }
     }
 
+    @Override
+    public void timeUp(long now, long wall) {
+        statements.timeUp(now);
+    }
+
+    @Override
+    public void close(long now, long wall) {
+        statements.leave(now);
+    }
+
     @Override
     public void called(long now, long wall, HttpCall call, Side.Reply reply) {
         String path = call.path();
--- a/statements/src/main/java/tillerlink/statements/Requests.java
+++ b/statements/src/main/java/tillerlink/statements/Requests.java
@@ -78,7 +78,7 @@
         }
     }
 
-    /** No more turn comes: nobody here will hear what became of what waits. */
+    /** The process ends: nobody here will hear what became of what waits. */
     void end(long now) {
         while (!waiting.isEmpty()) {
             next(now, Outcome.unknown("this gateway ends before it heard what became of it"));
--- a/statements/src/main/java/tillerlink/statements/Statements.java
+++ b/statements/src/main/java/tillerlink/statements/Statements.java
@@ -436,13 +436,15 @@
         }
     }
 
-    /**
-     * This process ends, nothing is written any more: who waits for word of a request is told that none came, and leases
-     * are given back, but for those that a hop may be out under.
-     */
-    public void leave(long at) {
+    /** This process ends soon: who waits for word of a request is told that none came. */
+    public void timeUp(long at) {
         now = Math.max(now, at);
         requests.end(now);
+    }
+
+    /** This process ends, nothing is written any more: leases that no hop may be out under are given back. */
+    public void leave(long at) {
+        now = Math.max(now, at);
         holding.leave(now);
     }
 
--- a/tools/src/test/java/tillerlink/replay/GuardedHistoriesTest.java
+++ b/tools/src/test/java/tillerlink/replay/GuardedHistoriesTest.java
@@ -155,6 +155,11 @@
             // It owes nothing.
         }
 
+        @Override
+        public void timeUp() {
+            // It owes nothing.
+        }
+
         @Override
         public void close() {
             // It has nothing open.
