Write down what a change waits for, and what hops cost it

Change: which hops may be out and for how long, what that costs, what stays open; rows of the measured table for runs, a hop that goes on and hops in doubt.

--- a/statements/src/test/java/tillerlink/statements/Measure.java
+++ b/statements/src/test/java/tillerlink/statements/Measure.java
@@ -17,6 +17,25 @@
 
     public static void main(String[] args) {
         change("calm", town -> { });
+        change("runs at all gateways, hops of 2 to 42 ms", town -> {
+            town.all.forEach(name -> load(town, name));
+            town.fleet.playFor(2 * Town.SECOND);
+        });
+        change("the same, one in 1,000 hops in doubt", town -> {
+            town.inDoubt = 0.001;
+            town.all.forEach(name -> load(town, name));
+            town.fleet.playFor(2 * Town.SECOND);
+        });
+        change("a hop that goes on for 500 ms", town -> {
+            town.worksFor = 500 * Town.MS;
+            town.run("g2", "top");
+            town.fleet.playFor(10 * Town.MS);
+        });
+        change("a hop in doubt", town -> {
+            town.inDoubt = 1;
+            town.run("g2", "top");
+            town.fleet.playFor(50 * Town.MS);
+        });
         change("a gateway killed", town -> town.kill("g2"));
         change("a gateway paused", town -> town.pause("g2"));
         change("a gateway cut off", town -> town.all.stream().filter(other -> !other.equals("g2"))
@@ -29,6 +48,11 @@
         cost();
     }
 
+    private static void load(Town town, String at) {
+        town.run(at, "top");
+        town.fleet.at(town.fleet.now() + 10 * Town.MS, () -> load(town, at));
+    }
+
     private static void change(String words, Consumer<Town> trouble) {
         List<Long> effects = new ArrayList<>();
         List<Long> gaps = new ArrayList<>();
