Say a leave three times before the process goes, also where probes are rare

Cause: the words of a leave were a fifth of probe_ms apart, while a process that was told to end takes turns for 700 ms: with probe_ms above 1,750 the third was never said, above 3,500 neither the second. Change: 200 ms apart at the most, as with up to 1,000 of probe_ms before. Seen: with 50, 500 and 60,000 ms all three are said within 650 ms; before, not with 60,000. The timelines of members are as they were.

--- a/members/src/main/java/tillerlink/members/Members.java
+++ b/members/src/main/java/tillerlink/members/Members.java
@@ -28,6 +28,8 @@
     private static final int PIECES_AT_ONCE = 8;
     private static final int LAST_TO = 6;
     private static final int LAST_TIMES = 3;
+    /** Between two of them at the most: a process that was told to end takes turns for 700 ms more at the least. */
+    private static final long LAST_EVERY_MOST = 2000;
     private static final int SMALL_EVERY = 4;
     private static final int RANDOM_BITS = 20;
 
@@ -238,7 +240,7 @@
 
     // ---- leaving ----
 
-    /** This process goes: said to some, several times; {@link #stopped} once that is done, within half a period. */
+    /** This process goes: said to some, several times; {@link #stopped} once that is done, within half a second. */
     public void leave(long now) {
         if (!core.isOut()) {
             core.now = now;
@@ -252,7 +254,7 @@
             return;
         }
         lastSaid++;
-        lastAt = core.now + periods.period() / 5;
+        lastAt = core.now + Math.min(periods.period() / 5, LAST_EVERY_MOST);
         for (Entry entry : core.table.someTalking(random, LAST_TO, "")) {
             core.sayLast(entry.card().address());
         }
--- a/members/src/test/java/tillerlink/members/MembersTest.java
+++ b/members/src/test/java/tillerlink/members/MembersTest.java
@@ -48,4 +48,23 @@
         play.fleet.heal();
         assertTrue(play.untilAgreed(20 * Play.SECOND) >= 0);
     }
+
+    /** A process that was told to end has said so as often as it should before it goes, however rarely it probes. */
+    @Test
+    void aLeaveIsSaidBeforeTheProcessGoes() {
+        for (long period : new long[] {50 * Play.MS, Play.SECOND / 2, 60 * Play.SECOND}) {
+            Periods usual = Periods.usual();
+            Play play = new Play(7, new Periods(period, period / 4, period, usual.relays(), usual.suspicionFactor(),
+                    usual.suspicionSpread(), usual.confirmations(), period / 2, usual.gossipTo(), usual.rumourFactor(), period,
+                    10 * period, usual.rumourLife(), usual.forgetAfter(), usual.healthMost(), usual.mostMembers()));
+            play.startAll("a", "b", "c");
+            assertTrue(play.untilAgreed(40 * period) >= 0);
+            play.leave("c");
+            play.fleet.playFor(650 * Play.MS);
+            assertTrue(play.up.get(Play.at("c")).members.stopped(), period / Play.MS + " ms");
+            play.kill("c");
+            assertEquals(Reach.LEFT, play.reach("a", "c"));
+            assertEquals(Reach.LEFT, play.reach("b", "c"));
+        }
+    }
 }
