--- a/gateway/src/main/java/tillerlink/net/state/Side.java
+++ b/gateway/src/main/java/tillerlink/net/state/Side.java
@@ -34,7 +34,9 @@
     /** Time is up: clients that still wait for an answer of its own get one now, for their connections end. */
     void timeUp();
 
-    /** The last turn is over, nothing is written to engines or clients any more; what was handed to the disk may still be waited for. */
+    /**
+     * The last turn is over, and no hop goes out any more; what was handed to the disk may still be waited for.
+     */
     void close();
 
     /**
--- a/statements/src/main/java/tillerlink/statements/lease/Holding.java
+++ b/statements/src/main/java/tillerlink/statements/lease/Holding.java
@@ -175,8 +175,8 @@
 
     /**
      * A hop that runs under a lease on the group is over here, and an engine may still be at it: to be told before it
-     * counts as ended. An engine stops at the limit that it was told, by its own clock and from when the hop came to it;
-     * so a whole lease is added, which a change that is announced waits for at the most.
+     * counts as ended. An engine stops at the limit that it was told, by its own clock and from when the hop came to
+     * it; so a whole lease is added, which a change that is announced waits for at the most.
      */
     public void inDoubt(long now, int group, long mayRunUntil) {
         Group it = groups.get(group);
