--- a/gateway/src/main/java/tillerlink/net/state/Flight.java
+++ b/gateway/src/main/java/tillerlink/net/state/Flight.java
@@ -20,6 +20,8 @@
     int missing;
     /** Bytes of the pages that have come. */
     int bytes;
+    /** Its guard was told that it is out. */
+    boolean began;
     /** It was not written, for its guard did not hold. */
     boolean refused;
     /** Its guard held after all of it was written. */
@@ -56,12 +58,22 @@
         return call.ask.statement();
     }
 
-    /** Asked by whoever writes it, right before; if not, it ends as one that was never sent. */
-    public boolean mayGo() {
+    /** Asked before it is handed to a carrier; if not, it ends as one that was never sent. */
+    boolean mayBePlaced() {
         refused = call.guard != null && !call.guard.holds();
         return !refused && begins.test(hop);
     }
 
+    /** Asked by whoever writes it, right before; if not, it ends as one that was never sent. */
+    public boolean mayGo() {
+        boolean goes = mayBePlaced();
+        if (goes && call.guard != null && !began) {
+            began = true;
+            call.guard.began();
+        }
+        return goes;
+    }
+
     /** Whether {@link Carrier.Owner#written} is waited for. */
     public boolean guarded() {
         return call.guard != null;
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -339,7 +339,7 @@
         if (!flight.hop.isOut()) {
             return;
         }
-        if (flight.mayGo()) {
+        if (flight.mayBePlaced()) {
             carrier(flight).send(flight);
         } else {
             next.add(() -> ended(flight, Outcome.NEVER_SENT));
@@ -417,6 +417,9 @@
 
     /** Time is up: the module words the final answer to what is left. */
     public void endAll() {
+        if (side != null) {
+            side.timeUp();
+        }
         clients.owed().forEach(call -> steering.outOfTime(now, call.submission));
         unsettled = true;
     }
