Let gateways take turns at a cold engine instead of drawing lots

Cause: a cold engine got under half of what it can do from 20 or more gateways, a fifth from 120 with small N: a hop had to fit twice, and lots add up by chance.

Change: the part of each gateway is rounded to whole hops, up from a share of a hop on that comes of its number (`me`), the engine's start and the span. Those of all gateways lie evenly between 0 and 1, so the sum adds up by construction; each one's moves by the golden ratio, staggered, from span to span. In an engine's first span the sum grows from nothing: gateways not told yet send as to a warm one. A gateway without a number takes one by its seed. A restarted gateway still waits a span.

--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -55,7 +55,7 @@
     private static final double LEAST_SHARE = 0.005;
     // Cold engines.
     private static final double COLD_USE = 0.35; // share of the stated limit for all gateways together
-    private static final double COLD_ROOM = 2; // room for a hop, in times of its work: estimates scatter
+    private static final double GOLDEN = 0.6180339887498949; // its multiples spread evenly over 0 to 1
     private static final int SLICES = 50;
     private static final double LATE_MARGIN = 1.25; // margin on an estimated soft limit before it is too late
     private static final double GRANT_MARGIN = 1.25;
@@ -84,6 +84,8 @@
     private double allWork;
 
     private final int gateways;
+    /** This gateway's among them; one that was not told takes any. */
+    private final int place;
     private final boolean mayCallOff;
     private final long tick;
     private final long settleTime;
@@ -106,6 +108,7 @@
         random = new Random(seed);
         startedAt = now;
         gateways = (int) Math.max(1, settings.number("instances", 1));
+        place = Math.floorMod(settings.number("me", seed), gateways);
         mayCallOff = settings.flag("caps.may_cancel");
         tick = settings.number("tick", 1);
         settleTime = settings.number("guarantees.settle_after_doubt", 0) + tick;
@@ -568,12 +571,12 @@
         double bestRating = Double.MAX_VALUE;
         for (Engine engine : candidates) {
             // Warmth breaks ties, but not towards an engine that other classes keep busier than the rest: a
-            // hot group would heap its long queries there. Before it comes a cold engine that was drawn: a
-            // lot that finds no hop leaves it idle. Then the least load, with a chance draw by cores: guards
+            // hot group would heap its long queries there. Before it comes a cold engine whose turn it is: a
+            // turn that finds no hop leaves it idle. Then the least load, with a chance draw by cores: guards
             // against many gateways that know little and would choose alike. It costs crossings.
             boolean warm = engine.groups.contains(s.tableGroup) && engine.load <= usualLoad + 1e-9;
             double chance = -Math.log(1 - random.nextDouble()) / engine.spareCores;
-            double rating = (engine.byLot ? -1000 : warm ? 0 : 1000) + engine.load + chance;
+            double rating = (engine.byTurn ? -1000 : warm ? 0 : 1000) + engine.load + chance;
             if (rating < bestRating) {
                 bestRating = rating;
                 best = engine;
@@ -798,35 +801,32 @@
         return start + (1 - start) * gone * gone;
     }
 
-    /** Guards a cold engine: this gateway's part of the span; one just started may have spent it before. */
+    /**
+     * Guards a cold engine: this gateway's part of the span, rounded to whole hops by its turn. One just
+     * started may have spent it before; in the first span the sum grows from nothing: others are told late.
+     */
     private boolean coldRoom(long now, Engine engine, double work) {
         double warmth = warmth(now, engine);
-        engine.byLot = false;
+        engine.byTurn = false;
         if (warmth >= 1 || fallSpan <= 0) {
             return true;
         }
+        long up = now - Math.max(engine.startedAt, engine.fellAt);
         double bears = settings.amount("guarantees.fall_multiple", 1) * warmth * cores(engine);
-        double all = bears * fallSpan * COLD_USE;
-        double most = all / gateways;
-        double sent = engine.workSent.most(now);
-        double need = COLD_ROOM * work;
-        boolean room = now >= startedAt + fallSpan;
-        engine.byLot = room && sent + need > most && sent == 0 && need <= all
-                && lot(now, engine) * need <= most;
-        return room && (sent + need <= most || engine.byLot);
+        double all = bears * Math.max(0, Math.min(up, fallSpan)) * COLD_USE;
+        double left = all / gateways - engine.workSent.most(now);
+        engine.byTurn = work > left;
+        return now >= startedAt + fallSpan && work <= all && turn(up, now - up) * work <= left;
     }
 
     /**
-     * Drawn anew each span. Guards a cold engine that no gateway would use, since each one's part of what it
-     * bears is less than a hop: the chance of a hop is that part in hops, so the sum over all gateways stays
-     * what it may be.
+     * From this share of a hop on, the part is rounded up. Those of all gateways lie evenly between 0 and 1:
+     * the sum keeps by construction what draws keep on average; each one's moves evenly from span to span.
      */
-    private double lot(long now, Engine engine) {
-        if (now >= engine.lotUntil) {
-            engine.lot = 1 - random.nextDouble();
-            engine.lotUntil = now + fallSpan;
-        }
-        return engine.lot;
+    private double turn(long up, long started) {
+        double spans = Math.floor((double) up / fallSpan + place * GOLDEN % 1);
+        double turn = (place + 0.5) / gateways + (spans + started) * GOLDEN % 1;
+        return 1 - turn % 1;
     }
 
     // ---- hops ----
