--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -56,6 +56,7 @@
     // Cold engines.
     private static final double COLD_USE = 0.35; // share of the stated limit for all gateways together
     private static final double GOLDEN = 0.6180339887498949; // its multiples spread evenly over 0 to 1
+    private static final double PARTS = 1000; // starts so many parts of a span apart have turns of their own
     private static final int SLICES = 50;
     private static final double LATE_MARGIN = 1.25; // margin on an estimated soft limit before it is too late
     private static final double GRANT_MARGIN = 1.25;
@@ -865,7 +866,7 @@
      */
     private double turn(long up, long started) {
         double spans = Math.floor((double) up / fallSpan + place * GOLDEN % 1);
-        double turn = (place + 0.5) / gateways + (spans + started) * GOLDEN % 1;
+        double turn = (place + 0.5) / gateways + (spans + started / (double) fallSpan * PARTS) * GOLDEN % 1;
         return 1 - turn % 1;
     }
 
