--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -129,9 +129,10 @@
 
     private void dialNameService() {
         if (!askerDialing) {
-            askerDialing = true;
             InetSocketAddress to = nameService;
-            asker.connect(to).addListener(done -> queue.add(() -> dialed((ConnectFuture) done, to)));
+            ConnectFuture dialing = asker.connect(to);
+            askerDialing = true;
+            dialing.addListener(done -> queue.add(() -> dialed((ConnectFuture) done, to)));
         }
     }
 
--- a/gateway/src/test/java/tillerlink/ServeTest.java
+++ b/gateway/src/test/java/tillerlink/ServeTest.java
@@ -57,14 +57,16 @@
                 daemon(() -> converse(socket));
             }
         });
+        // Not the field: a test that puts another name service there is to hear its questions itself.
+        DatagramSocket asked = names;
         daemon(() -> {
             while (true) {
                 DatagramPacket packet = new DatagramPacket(new byte[512], 512);
-                names.receive(packet);
+                asked.receive(packet);
                 byte[] q = packet.getData();
                 byte[] list = Lists.answer((q[0] & 255) << 8 | q[1] & 255, 2,
                         "e1 ready 127.0.0.1:" + engine.getLocalPort() + " east std 0 0");
-                names.send(new DatagramPacket(list, list.length, packet.getSocketAddress()));
+                asked.send(new DatagramPacket(list, list.length, packet.getSocketAddress()));
             }
         });
     }
