--- a/gateway/src/main/java/tillerlink/net/state/Call.java
+++ b/gateway/src/main/java/tillerlink/net/state/Call.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import tillerlink.model.KeyLine;
 import tillerlink.model.Submission;
 import tillerlink.net.wire.Ask;
 import tillerlink.net.wire.HttpAnswer;
@@ -21,10 +22,11 @@
     boolean left;
     long forgetAt;
 
-    Call(Ask ask, int trackIndex, long now) {
+    /** @param line those about the same, of tracks that keep their order; or null */
+    Call(Ask ask, int trackIndex, long now, KeyLine line) {
         this.ask = ask;
         submission = new Submission(this, trackIndex, ask.tableGroup(), ask.repeat(), now, now + ask.patience(),
-                ask.estimate(), ask.memory(), null);
+                ask.estimate(), ask.memory(), line);
         forgetAt = submission.leavesAt;
     }
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
+import tillerlink.model.KeyLine;
 import tillerlink.model.Named;
 import tillerlink.net.wire.Ask;
 import tillerlink.net.wire.HttpAnswer;
@@ -36,6 +37,9 @@
     private final Map<String, Integer> tracks = new HashMap<>();
     /** The tracks whose submissions bear a mark against repeats. */
     private final Set<Integer> marked = new HashSet<>();
+    /** The tracks that keep their order, and what is open of each subject. */
+    private final Set<Integer> ordered = new HashSet<>();
+    private final Map<String, KeyLine> lines = new HashMap<>();
     private final Map<String, Call> calls = new LinkedHashMap<>();
     private final Set<ClientLink> clients = new LinkedHashSet<>();
     private final int clientsMost;
@@ -59,6 +63,9 @@
             if (terms.text("profiles." + i + ".semantics").equals("by_key")) {
                 marked.add(i);
             }
+            if (terms.flag("profiles." + i + ".keep_order")) {
+                ordered.add(i);
+            }
             longestHardStop = Math.max(longestHardStop, terms.number("profiles." + i + ".hard_limit", 1));
         }
         openMost = Math.min(OPEN_MOST, terms.number("caps.max_open", OPEN_MOST));
@@ -203,7 +210,9 @@
             gateway.rarely("no room for a further submission: " + calls.size() + " with " + bytes + " bytes");
             reply.answer(noRoom());
         } else {
-            Call call = new Call(ask, track, now());
+            KeyLine line = ask.subject() == null || !ordered.contains(track) ? null
+                    : lines.computeIfAbsent(ask.subject(), about -> new KeyLine());
+            Call call = new Call(ask, track, now(), line);
             call.guard = guard;
             calls.put(ask.id(), call);
             held(ask.statement().length);
@@ -304,6 +313,7 @@
                 i.remove();
             }
         }
+        lines.values().removeIf(line -> line.head() == null && now() >= line.restsUntil);
         List.copyOf(clients).forEach(ClientLink::sweep);
         makeRoom();
     }
--- a/gateway/src/main/java/tillerlink/net/wire/Ask.java
+++ b/gateway/src/main/java/tillerlink/net/wire/Ask.java
@@ -8,12 +8,14 @@
 /**
  * A submission as a client words it. Times are tenths of a millisecond, memory is megabytes.
  *
- * @param key the mark by which engines know a repeat, or null
+ * @param key     the mark by which engines know a repeat, or null
+ * @param subject what it is about, for tracks that keep their order by it, or null
  */
-public record Ask(String id, String track, long patience, boolean repeat, String key, double estimate, double memory,
-                  int tableGroup, byte[] statement) {
+public record Ask(String id, String track, long patience, boolean repeat, String key, String subject,
+                  double estimate, double memory, int tableGroup, byte[] statement) {
     private static final int ID_DIGITS = 16;
     private static final int KEY_MOST = 64;
+    private static final int SUBJECT_MOST = 256;
     private static final int DIGITS_MOST = 9;
 
     /** @throws IllegalArgumentException if a header is missing or can't be used; the message names it */
@@ -26,6 +28,10 @@
         if (key != null && (key.isEmpty() || key.length() > KEY_MOST || !key.chars().allMatch(Ask::plain))) {
             throw new IllegalArgumentException("X-Operation-Key");
         }
+        String subject = call.fields().get("x-subject");
+        if (subject != null && subject.length() > SUBJECT_MOST) {
+            throw new IllegalArgumentException("X-Subject");
+        }
         double patience = amount(call, "X-Deadline-Ms");
         if (patience <= 0) {
             throw new IllegalArgumentException("X-Deadline-Ms");
@@ -35,7 +41,7 @@
             throw new IllegalArgumentException("no statement");
         }
         return new Ask(id, call.path().substring(call.path().lastIndexOf('/') + 1),
-                (long) (patience * Units.TENTHS_PER_MS), "1".equals(call.fields().get("x-resent")), key,
+                (long) (patience * Units.TENTHS_PER_MS), "1".equals(call.fields().get("x-resent")), key, subject,
                 amount(call, "X-Estimate-Ms") * Units.TENTHS_PER_MS, amount(call, "X-Space"),
                 Statement.tableGroup(statement), call.body());
     }
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -213,6 +213,14 @@
         s.matches("net-given-up");
     }
 
+    /** Guards the order of a subject, where a track asks for it: the next goes out when the one before is over. */
+    @Test
+    void inOrderBySubject() {
+        Stage s = new Stage().ordered("c1", "00000000000000a1", "x").ordered("c2", "00000000000000a2", "x").connected(0);
+        s.say("another subject does not wait").ordered("c3", "00000000000000a3", "y").connected(1);
+        s.say("the first is over").engine(0, "00000000000000a1 ok count=1 0||").matches("net-order");
+    }
+
     @Test
     void drained() {
         Stage s = new Stage().post("c1", ID, "look").get("c1", ID).connected(0).say("told to end").drain();
--- a/gateway/src/test/java/tillerlink/Stage.java
+++ b/gateway/src/test/java/tillerlink/Stage.java
@@ -54,7 +54,9 @@
         Map<String, Object> book = Map.of("name", "book", "semantics", "once", "aim_us", 1_000_000L, "hard_limit_us",
                 5_000_000L, "worth", 1.0, "late_worth", 0.5);
         Map<String, Object> load = Map.of("name", "load", "semantics", "by_key", "aim_us", 1_000_000L, "hard_limit_us", 5_000_000L);
-        Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book, load), "models", List.of("std"), "zones",
+        Map<String, Object> file = Map.of("name", "file", "semantics", "repeatable", "keep_order", true, "aim_us", 1_000_000L,
+                "hard_limit_us", 5_000_000L, "worth", 1.0);
+        Map<String, Object> terms = Map.of("caps", caps, "profiles", List.of(look, book, load, file), "models", List.of("std"), "zones",
                 List.of("east"), "tick_us", 5000L, "guarantees", terse ? Map.of() : Map.of("drain_grace_us", 100_000L),
                 "family_info", Map.of("kind_cores", List.of(8L), "tells_every_us", 2_000_000L));
         EngineNews known = new EngineNews(1, true, fleet);
@@ -105,6 +107,12 @@
                 + "\r\nX-Deadline-Ms: 4500\r\nX-Estimate-Ms: 100\r\nContent-Length: 8\r\n\r\nSELECT 1");
     }
 
+    /** Of the track that keeps its order. */
+    Stage ordered(String client, String id, String subject) {
+        return client(client, "POST /v1/file HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: " + id + "\r\nX-Deadline-Ms: 4500\r\n"
+                + "X-Subject: " + subject + "\r\nX-Estimate-Ms: 100\r\nContent-Length: 8\r\n\r\nSELECT 1");
+    }
+
     Stage get(String client, String id) {
         return client(client, "GET /v1/calls/" + id + " HTTP/1.1\r\nHost: a\r\n\r\n");
     }
