--- a/blind/src/main/java/tillerlink/blind/Memory.java
+++ b/blind/src/main/java/tillerlink/blind/Memory.java
@@ -31,7 +31,7 @@
     private static final String ENGINE = "engine/";
     private static final String LIST = "list";
     private static final int TENTHS_PER_MS = 10;
-    /** Times of the longest hard stop. */
+    /** Times of the longest deadline. */
     private static final double CONFIRMED_EVERY = 1;
     private static final double GONE_KEPT = 200;
     private static final double RATE_FADES = 2000;
@@ -43,7 +43,7 @@
     private static final int ENGINES_MOST = 10_000;
 
     private final Sink sink;
-    private final long longestStop;
+    private final long longestDeadline;
     private final long warmWithin;
     private final long ageMost;
     private final NavigableMap<String, Seen> wanted = new TreeMap<>();
@@ -59,16 +59,16 @@
     private int doubtedTimes;
 
     /**
-     * @param longestStop the longest hard stop of any track
+     * @param longestDeadline the longest deadline of any track
      * @param warmWithin  how long an engine counts as cold
      * @param ageMost     from which age on a list is not trusted at all; all are tenths of a millisecond
      */
-    public Memory(NavigableMap<String, byte[]> stored, long longestStop, long warmWithin, long ageMost, Sink sink) {
+    public Memory(NavigableMap<String, byte[]> stored, long longestDeadline, long warmWithin, long ageMost, Sink sink) {
         this.sink = sink;
-        this.longestStop = longestStop;
+        this.longestDeadline = longestDeadline;
         this.warmWithin = warmWithin;
         this.ageMost = ageMost;
-        changes = new DecayingSum(RATE_FADES * longestStop);
+        changes = new DecayingSum(RATE_FADES * longestDeadline);
         stored.forEach((key, value) -> {
             if (key.startsWith(ENGINE)) {
                 String id = key.substring(ENGINE.length());
@@ -97,7 +97,7 @@
 
     /** How far what is remembered is trusted now. */
     public Trust trust(long now) {
-        return confirmedAt == 0 ? Trust.TOO_OLD : Trust.of(now - confirmedAt, rateAtStart, longestStop, ageMost);
+        return confirmedAt == 0 ? Trust.TOO_OLD : Trust.of(now - confirmedAt, rateAtStart, longestDeadline, ageMost);
     }
 
     @Override
@@ -177,7 +177,7 @@
             doubtedTimes = 0;
         }
         doubtedTimes++;
-        return doubtedTimes < TOLD_AGAIN || now < doubtedSince + HELD_FOR * longestStop;
+        return doubtedTimes < TOLD_AGAIN || now < doubtedSince + HELD_FOR * longestDeadline;
     }
 
     private static EngineEntry draining(EngineEntry e) {
@@ -189,7 +189,7 @@
     private void forgetOld(long now) {
         for (Iterator<Seen> i = wanted.values().iterator(); i.hasNext();) {
             Seen seen = i.next();
-            if (seen.isGone() && now > seen.goneAt() * TENTHS_PER_MS + GONE_KEPT * longestStop) {
+            if (seen.isGone() && now > seen.goneAt() * TENTHS_PER_MS + GONE_KEPT * longestDeadline) {
                 i.remove();
             }
         }
@@ -213,7 +213,7 @@
                 changed = true;
             }
         }
-        if (changed || now >= listKeptAt + CONFIRMED_EVERY * longestStop) {
+        if (changed || now >= listKeptAt + CONFIRMED_EVERY * longestDeadline) {
             listKeptAt = now;
             sink.keep(LIST, (confirmedAt / TENTHS_PER_MS + "\t" + rate(now)).getBytes(StandardCharsets.UTF_8), changed);
         }
@@ -222,6 +222,6 @@
     /** The share of the fleet that changes in a tenth of a millisecond, of late. */
     private double rate(long now) {
         long known = Math.max(1, wanted.values().stream().filter(seen -> !seen.isGone()).count());
-        return changes.at(now) / known / (RATE_FADES * longestStop);
+        return changes.at(now) / known / (RATE_FADES * longestDeadline);
     }
 }
--- a/blind/src/main/java/tillerlink/blind/Trust.java
+++ b/blind/src/main/java/tillerlink/blind/Trust.java
@@ -11,7 +11,7 @@
     private static final double FRESH_MOST = 0.02;
     private static final double AGEING_MOST = 0.1;
     private static final double OLD_MOST = 0.5;
-    /** A clock may be off by so many of the longest hard stops before its time is not believed. */
+    /** A clock may be off by so many of the longest deadlines before its time is not believed. */
     private static final double CLOCK_SLACK = 1;
 
     /** What the module is told: 1 would be a list that was just confirmed. */
@@ -26,11 +26,11 @@
      * best; and against one set forward, which makes any list too old, so that the most that is lost is the list.
      *
      * @param changes     the share of the fleet that changes in a tenth of a millisecond, as seen; 0 if nothing was
-     * @param longestStop the longest hard stop of any track
+     * @param longestDeadline the longest deadline of any track
      * @param ageMost     from which age on nothing is trusted
      */
-    public static Trust of(long age, double changes, long longestStop, long ageMost) {
-        if (age < -CLOCK_SLACK * longestStop) {
+    public static Trust of(long age, double changes, long longestDeadline, long ageMost) {
+        if (age < -CLOCK_SLACK * longestDeadline) {
             return OLD;
         }
         if (age > ageMost) {
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -147,7 +147,7 @@
   hard_stop_ms   = 18000
   payoff         = 4
   late_payoff    = 2
-  mark_kept_ms   = 18000     # how long engines know its mark; left out: for its hard stop
+  mark_kept_ms   = 18000     # how long engines know its mark; left out: for its deadline
   median_work_ms = 500
   rows {
     column = "team"
--- a/fleet/src/main/java/tillerlink/fleet/Fleet.java
+++ b/fleet/src/main/java/tillerlink/fleet/Fleet.java
@@ -140,7 +140,7 @@
         profile.put("group", "all");
         profile.put("window_us", track.window() * MICROS);
         profile.put("aim_us", track.softLimit() * MICROS);
-        profile.put("hard_limit_us", track.hardStop() * MICROS);
+        profile.put("hard_limit_us", track.deadline() * MICROS);
         profile.put("worth", track.payoff());
         profile.put("late_worth", track.latePayoff() / track.payoff());
         if (!track.kinds().isEmpty()) {
--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -122,9 +122,9 @@
             TrackTerms terms = terms(i);
             least = Math.min(least, terms.softLimit());
             most = Math.max(most, terms.softLimit());
-            tracks.add(new Track(i, terms, new DecayingMean(terms.hardStop() * 4.0, 1, 4),
-                    new DecayingMean(terms.hardStop() * 4.0, 1, 4),
-                    new DecayingMean(terms.hardStop() * 4.0, terms.softLimit() * terms.width() / FAR, 1),
+            tracks.add(new Track(i, terms, new DecayingMean(terms.deadline() * 4.0, 1, 4),
+                    new DecayingMean(terms.deadline() * 4.0, 1, 4),
+                    new DecayingMean(terms.deadline() * 4.0, terms.softLimit() * terms.width() / FAR, 1),
                     new DecayingMean(terms.softLimit() * 4.0, 1, 1e-6)));
         }
         oneOfEach = tracks.stream().mapToInt(track -> track.terms.width()).sum();
@@ -151,10 +151,10 @@
             case "zone" -> Circle.ZONE;
             default -> Circle.CELL;
         };
-        long hardStop = settings.number(at + "hard_limit", 1);
+        long deadline = settings.number(at + "hard_limit", 1);
         return new TrackTerms(effect, circle, settings.number(at + "window", 0),
-                Math.max(1, settings.number(at + "aim", hardStop)), settings.amount(at + "aim_stretch", 0),
-                hardStop, settings.amount(at + "worth", 1), settings.amount(at + "late_worth", 0),
+                Math.max(1, settings.number(at + "aim", deadline)), settings.amount(at + "aim_stretch", 0),
+                deadline, settings.amount(at + "worth", 1), settings.amount(at + "late_worth", 0),
                 (int) Math.max(1, settings.nth("family_info.width_by_class", i, 1)),
                 settings.nthFlag("family_info.loads", i), settings.nthFlag("family_info.waits_for_loads", i),
                 settings.flag(at + "keep_order"), settings.numbers(at + "zones_open"),
@@ -224,7 +224,7 @@
             taken.add(now, 1);
         }
         payoffSeen.add(now, s.track.terms.payoff());
-        s.track.workSeen.add(now, Math.min(work(now, s), s.track.terms.hardStop() * s.track.terms.width()));
+        s.track.workSeen.add(now, Math.min(work(now, s), s.track.terms.deadline() * s.track.terms.width()));
         if (s.ordered()) {
             s.line.members.addLast(s);
             alarms.set(s, tooLateAt(now, s));
--- a/gateway/src/main/java/tillerlink/model/TrackTerms.java
+++ b/gateway/src/main/java/tillerlink/model/TrackTerms.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** What the settings say of a track; a null list binds nothing. */
-public record TrackTerms(Effect effect, Circle circle, long window, long softLimit, double stretch, long hardStop,
+public record TrackTerms(Effect effect, Circle circle, long window, long softLimit, double stretch, long deadline,
                          double payoff, double latePayoff, int width, boolean holdsGroup, boolean waitsForGroup,
                          boolean keepsOrder, List<Integer> zones, List<Integer> kinds) {
     public boolean allows(Engine engine) {
--- a/gateway/src/main/java/tillerlink/net/life/Shutdown.java
+++ b/gateway/src/main/java/tillerlink/net/life/Shutdown.java
@@ -12,7 +12,7 @@
 final class Shutdown {
     /** Clients may go on coming for this long. */
     private static final long STILL_COMING = 700 * Units.TENTHS_PER_MS;
-    /** The process is killed no sooner than the longest hard stop after that, which counts as this at most. */
+    /** The process is killed no sooner than the longest deadline after that, which counts as this at most. */
     private static final long LONGEST = 3000 * Units.TENTHS_PER_MS;
     /** What is kept of that time for the last answers to be called for and to go out. */
     private static final long MARGIN = 350 * Units.TENTHS_PER_MS;
@@ -43,7 +43,7 @@
         if (since == Long.MAX_VALUE || now < since + STILL_COMING) {
             return false;
         }
-        long killedAt = since + STILL_COMING + Math.min(LONGEST, gateway.longestHardStop());
+        long killedAt = since + STILL_COMING + Math.min(LONGEST, gateway.longestDeadline());
         if (!closed) {
             closed = true;
             turn(now, gateway::close);
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -29,7 +29,7 @@
     private static final String SUBMIT = "/v1/";
     private static final String HEALTH = "/healthz";
     private static final int OPEN_MOST = 4096;
-    /** A client that would wait longer than this many of the longest hard stops is none of ours. */
+    /** A client that would wait longer than this many of the longest deadlines is none of ours. */
     private static final int PATIENCE_MOST = 2;
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
 
@@ -44,7 +44,7 @@
     private final Set<ClientLink> clients = new LinkedHashSet<>();
     private final int clientsMost;
     private final long openMost;
-    private long longestHardStop = 1;
+    private long longestDeadline = 1;
     private final long comeBack;
     private final long bytesMost;
     private long bytes;
@@ -66,7 +66,7 @@
             if (terms.flag("profiles." + i + ".keep_order")) {
                 ordered.add(i);
             }
-            longestHardStop = Math.max(longestHardStop, terms.number("profiles." + i + ".hard_limit", 1));
+            longestDeadline = Math.max(longestDeadline, terms.number("profiles." + i + ".hard_limit", 1));
         }
         openMost = Math.min(OPEN_MOST, terms.number("caps.max_open", OPEN_MOST));
         comeBack = terms.flag("caps.retry_after") ? terms.number("caps.max_retry_after", 0) : 0;
@@ -199,7 +199,7 @@
             return null;
         }
         Call known = calls.get(ask.id());
-        boolean tooLong = ask.patience() > PATIENCE_MOST * longestHardStop;
+        boolean tooLong = ask.patience() > PATIENCE_MOST * longestDeadline;
         if (tooLong || ask.key() == null && marked.contains(track)) {
             reply.answer(HttpAnswer.problem(400, tooLong ? "X-Deadline-Ms" : "X-Operation-Key", 0));
         } else if (known != null && !known.left && known.ask.same(ask)) {
@@ -342,8 +342,8 @@
         return clients.isEmpty();
     }
 
-    long longestHardStop() {
-        return longestHardStop;
+    long longestDeadline() {
+        return longestDeadline;
     }
 
     /** Whether every answer is out. */
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -88,7 +88,7 @@
         countAt = now + COUNT_EVERY;
         clients = new ClientDoor(this, terms, assignment.clientsMost(), bytesMost);
         // Engines that close nothing: whoever came before it fell idle waits no more.
-        idleMost = stated(terms, "caps.conn_idle", 2 * clients.longestHardStop()) / 2;
+        idleMost = stated(terms, "caps.conn_idle", 2 * clients.longestDeadline()) / 2;
         guarded = new Guarded(this, clients);
         engines = new EngineList(terms, this, (owner, site, kind) -> {
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
@@ -114,8 +114,8 @@
         long shortest = Long.MAX_VALUE;
         for (int i = 0; i < terms.number("profiles", 0); i++) {
             String track = "profiles." + i + ".";
-            long hardStop = stated(terms, track + "hard_limit", COUNT_EVERY);
-            shortest = Math.min(shortest, stated(terms, track + "aim", hardStop));
+            long deadline = stated(terms, track + "hard_limit", COUNT_EVERY);
+            shortest = Math.min(shortest, stated(terms, track + "aim", deadline));
         }
         return Math.min(shortest, COUNT_EVERY);
     }
@@ -396,8 +396,8 @@
     }
 
     /** No client waits longer than this. */
-    public long longestHardStop() {
-        return clients.longestHardStop();
+    public long longestDeadline() {
+        return clients.longestDeadline();
     }
 
     /** Whether every answer is out. */
--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -241,14 +241,14 @@
     }
 
     /**
-     * What the settings leave out is measured by the shortest soft limit (400 ms here) and the longest hard stop (5 s),
+     * What the settings leave out is measured by the shortest soft limit (400 ms here) and the longest deadline (5 s),
      * not by any figure of the program's own.
      */
     @Test
     void whatIsNotStated() {
         Stage s = new Stage().terse().post("c1", ID, "look").get("c1", ID).say("not up for a soft limit").pass(399).pass(2);
         s.say("the next is up").post("c2", OTHER, "look").get("c2", OTHER).connected(1).engine(1, OTHER + " ok count=1 6|a\t1\tx\n|");
-        s.say("idle for a hard stop").pass(4_800).say("and no longer").pass(400).matches("net-unstated");
+        s.say("idle for a deadline").pass(4_800).say("and no longer").pass(400).matches("net-unstated");
         int before = s.questions();
         s.pass(40_000);
         int asked = s.questions() - before;
--- a/gateway/src/test/java/tillerlink/Trace.java
+++ b/gateway/src/test/java/tillerlink/Trace.java
@@ -60,7 +60,7 @@
         return this;
     }
 
-    /** Adds a track: soft limit 1 s, hard stop 5 s, payoff 1. */
+    /** Adds a track: soft limit 1 s, deadline 5 s, payoff 1. */
     Trace track(String semantics, Object... more) {
         long place = (Long) settings.get("profiles");
         String at = "profiles." + place + ".";
--- a/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
+++ b/operator/src/test/java/tillerlink/operator/OperatorFileTest.java
@@ -205,7 +205,7 @@
         assertEquals(new Statements(List.of("north-1", "north-2", "south-1"), 30_000, 0.01, false), file.statements());
     }
 
-    /** What the example says of a fleet is what holds where it is left out, and a mark is kept for its track's hard stop. */
+    /** What the example says of a fleet is what holds where it is left out, and a mark is kept for its track's deadline. */
     @Test
     void theExampleSaysWhatHoldsWhereItIsLeftOut() throws IOException {
         Fleet said = OperatorFile.read(Path.of("../deploy/operator.hcl")).fleet();
--- a/replay/src/main/java/tillerlink/replay/Figures.java
+++ b/replay/src/main/java/tillerlink/replay/Figures.java
@@ -23,7 +23,7 @@
 
         OfTrack(Track track) {
             this.track = track;
-            times = new Histogram(1, Math.max(2, 4 * track.hardStop()), DIGITS);
+            times = new Histogram(1, Math.max(2, 4 * track.deadline()), DIGITS);
         }
 
         public Track track() {
@@ -58,7 +58,7 @@
 
     public Figures(List<Track> tracks) {
         tracks.forEach(track -> this.tracks.add(new OfTrack(track)));
-        long longest = tracks.stream().mapToLong(Track::hardStop).max().orElse(0);
+        long longest = tracks.stream().mapToLong(Track::deadline).max().orElse(0);
         windows = new Windows(WINDOW, 2 * longest, WINDOW_LEAST);
     }
 
--- a/replay/src/main/java/tillerlink/replay/Front.java
+++ b/replay/src/main/java/tillerlink/replay/Front.java
@@ -87,9 +87,9 @@
         open.add(request);
         world.expect(request.id, new World.Job(arrival.work(), track.width(), arrival.memory()));
         world.auditor.taken(world.now(), gateway, request.id, arrival.track(), null,
-                world.now() + track.hardStop());
+                world.now() + track.deadline());
         say(request, wording.submission(arrival, track, request.id));
-        world.timeline.at(world.now() + track.hardStop() + SLACK, () -> leave(request));
+        world.timeline.at(world.now() + track.deadline() + SLACK, () -> leave(request));
     }
 
     /** Drawn by the submission alone; a front passes over gateways that are down. */
--- a/replay/src/main/java/tillerlink/replay/Wording.java
+++ b/replay/src/main/java/tillerlink/replay/Wording.java
@@ -43,7 +43,7 @@
         String statement = "SELECT day, count(*) FROM t_" + arrival.tableGroup() + ".rows WHERE tag = '" + id
                 + "' GROUP BY day";
         return ("POST /v1/" + track.name() + " HTTP/1.1\r\nHost: app\r\nX-Correlation-Id: " + id
-                + "\r\nX-Deadline-Ms: " + track.hardStop() / 10
+                + "\r\nX-Deadline-Ms: " + track.deadline() / 10
                 + (track.effect() == Effect.RECEIPTED ? "\r\nX-Operation-Key: " + mark(arrival) : "")
                 + "\r\nX-Estimate-Ms: " + String.format(Locale.ROOT, "%.1f", Math.min(ESTIMATE_MOST, estimate))
                 + "\r\nX-Space: " + (long) space + "\r\nContent-Length: " + statement.length() + "\r\n\r\n" + statement)
--- a/storm/src/main/java/tillerlink/storm/play/SubmissionLoad.java
+++ b/storm/src/main/java/tillerlink/storm/play/SubmissionLoad.java
@@ -11,7 +11,7 @@
 /** Plain submissions, half of them effectful. */
 final class SubmissionLoad extends Load {
     private static final long DEADLINE_MS = 3500;
-    /** Far more than the hard stop: a busy machine makes no client give up on a gateway that was left in peace. */
+    /** Far more than the deadline: a busy machine makes no client give up on a gateway that was left in peace. */
     private static final long PATIENCE_MS = 30_000;
     private final AtomicLong ids = new AtomicLong(0x5100);
 
--- a/traces/src/main/java/tillerlink/workload/Track.java
+++ b/traces/src/main/java/tillerlink/workload/Track.java
@@ -8,13 +8,13 @@
  * A track of the replayed fleet, and which rows of a trace become its submissions.
  *
  * @param width     threads of one submission
- * @param softLimit tenths of a millisecond, as is hardStop
+ * @param softLimit tenths of a millisecond, as is deadline
  * @param kinds     the kinds of engine that it is bound to, or an empty list for all
  * @param window    how long engines remember the mark of a receipted one, in tenths of a millisecond
  * @param median    what the median of its tasks' work is scaled to, in tenths of a millisecond on one core
  * @param rows      tests of a row that must all hold; none takes every row that no track before it took
  */
-public record Track(String name, Effect effect, int width, long softLimit, long hardStop, double payoff,
+public record Track(String name, Effect effect, int width, long softLimit, long deadline, double payoff,
                     double latePayoff, List<String> kinds, long window, double median, List<Layout.Test> rows) {
     private static final int SHARE_OF_SOFT = 2;
 
