--- a/fleet/src/main/java/tillerlink/fleet/Fleet.java
+++ b/fleet/src/main/java/tillerlink/fleet/Fleet.java
@@ -141,8 +141,8 @@
         profile.put("window_us", track.window() * MICROS);
         profile.put("aim_us", track.softLimit() * MICROS);
         profile.put("hard_limit_us", track.deadline() * MICROS);
-        profile.put("worth", track.payoff());
-        profile.put("late_worth", track.latePayoff() / track.payoff());
+        profile.put("worth", track.value());
+        profile.put("late_worth", track.lateValue() / track.value());
         if (!track.kinds().isEmpty()) {
             profile.put("models_allowed", track.kinds().stream()
                     .map(name -> (long) kindNamed(name)).toList());
--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -99,7 +99,7 @@
     private final List<String> reportFields;
     private final SlidingSum taken;
     private final SlidingSum further;
-    private final DecayingSum payoffSeen;
+    private final DecayingSum valueSeen;
     /** The pace of all hops that ended of late, in times of their tracks' best. */
     private final DecayingMean lately;
 
@@ -133,7 +133,7 @@
         long budgetSpan = settings.number("guarantees.budget_span", 0);
         taken = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
         further = budgetSpan > 0 ? new SlidingSum(budgetSpan, SLICES) : null;
-        payoffSeen = new DecayingSum(mostSoftLimit * 16.0);
+        valueSeen = new DecayingSum(mostSoftLimit * 16.0);
         lately = new DecayingMean(mostSoftLimit, 1, 2);
         tracks.forEach(track -> track.workSeen = new DecayingSum(mostSoftLimit * 16.0));
         followWanted = settings.text("discovery").equals("ask");
@@ -223,7 +223,7 @@
         if (taken != null) {
             taken.add(now, 1);
         }
-        payoffSeen.add(now, s.track.terms.payoff());
+        valueSeen.add(now, s.track.terms.value());
         s.track.workSeen.add(now, Math.min(work(now, s), s.track.terms.deadline() * s.track.terms.width()));
         if (s.ordered()) {
             s.line.members.addLast(s);
@@ -895,8 +895,8 @@
     }
 
     private int rank(long now, Submission s) {
-        double usual = payoffSeen.at(now) / Math.max(1, allWork);
-        double dense = s.track.terms.payoff() / Math.max(1, work(now, s)) / usual;
+        double usual = valueSeen.at(now) / Math.max(1, allWork);
+        double dense = s.track.terms.value() / Math.max(1, work(now, s)) / usual;
         return dense >= 4 ? 3 : dense >= 1 ? 2 : dense >= 0.25 ? 1 : 0;
     }
 
@@ -1112,7 +1112,7 @@
 
     /** From here on an answer pays nothing. */
     private long tooLateAt(long now, Submission s) {
-        return s.track.terms.latePayoff() > 0 ? lastMoment(s)
+        return s.track.terms.lateValue() > 0 ? lastMoment(s)
                 : Math.min(lastMoment(s), (long) (s.arrivedAt + softLimit(now, s) * LATE_MARGIN));
     }
 }
--- a/gateway/src/test/java/tillerlink/OtherSettingsTest.java
+++ b/gateway/src/test/java/tillerlink/OtherSettingsTest.java
@@ -9,7 +9,7 @@
 import org.junit.platform.commons.support.ReflectionSupport;
 
 /**
- * Plays each of the module's stories under other settings: under other names, and with all times, works and payoffs a
+ * Plays each of the module's stories under other settings: under other names, and with all times, works and values a
  * few times as large. What it orders must be the same, at times as much larger: no figure of one site decides anything.
  */
 class OtherSettingsTest {
--- a/gateway/src/test/java/tillerlink/Trace.java
+++ b/gateway/src/test/java/tillerlink/Trace.java
@@ -23,7 +23,7 @@
 
 /** A door for tests: plays events to one module and prints what it orders, a line each. Times are milliseconds. */
 final class Trace implements Orders {
-    /** The form in which all stories are played: so many times the times and payoffs, and other names or not. */
+    /** The form in which all stories are played: so many times the times and values, and other names or not. */
     static int scale = 1;
     static boolean renamed;
 
@@ -60,7 +60,7 @@
         return this;
     }
 
-    /** Adds a track: soft limit 1 s, deadline 5 s, payoff 1. */
+    /** Adds a track: soft limit 1 s, deadline 5 s, value 1. */
     Trace track(String semantics, Object... more) {
         long place = (Long) settings.get("profiles");
         String at = "profiles." + place + ".";
--- a/operator/src/main/java/tillerlink/operator/TrackPart.java
+++ b/operator/src/main/java/tillerlink/operator/TrackPart.java
@@ -26,9 +26,9 @@
             if (hard < soft) {
                 section.faultAt("hard_stop_ms", "'hard_stop_ms' is below 'soft_limit_ms'");
             }
-            double payoff = section.number("payoff", 1e-6, 1e9, 1);
-            tracks.add(new Track(name, effect, (int) section.whole("threads", 1, 1024, 1), soft, hard, payoff,
-                    section.number("late_payoff", 0, payoff, 0), section.texts("kinds", false),
+            double value = section.number("payoff", 1e-6, 1e9, 1);
+            tracks.add(new Track(name, effect, (int) section.whole("threads", 1, 1024, 1), soft, hard, value,
+                    section.number("late_payoff", 0, value, 0), section.texts("kinds", false),
                     Math.round(section.number("mark_kept_ms", 0, 1e8,
                             effect == Effect.RECEIPTED ? hard / Units.TENTHS_PER_MS : 0) * Units.TENTHS_PER_MS),
                     section.number("median_work_ms", 0.1, 1e7, Units.NONE) * Units.TENTHS_PER_MS,
--- a/replay/src/main/java/tillerlink/replay/Figures.java
+++ b/replay/src/main/java/tillerlink/replay/Figures.java
@@ -7,7 +7,7 @@
 import org.HdrHistogram.Histogram;
 import tillerlink.workload.Track;
 
-/** What a run was worth: payoff answered within the soft limit over payoff asked for, and what became of the rest. */
+/** What a run was worth: value answered within the soft limit over value asked for, and what became of the rest. */
 public final class Figures {
     static final long SECOND = 10_000;
     private static final long WINDOW = 10 * SECOND;
@@ -65,8 +65,8 @@
     public void arrived(long at, int track) {
         OfTrack of = tracks.get(track);
         of.arrived++;
-        asked += of.track.payoff();
-        windows.asked(at, of.track.payoff());
+        asked += of.track.value();
+        windows.asked(at, of.track.value());
         series.add(at, 0, 1);
     }
 
@@ -78,8 +78,8 @@
             of.times.recordValue(Math.min(Math.max(1, took), of.times.getHighestTrackableValue()));
         }
         if (how == End.IN_TIME) {
-            got += of.track.payoff();
-            windows.got(askedAt, of.track.payoff());
+            got += of.track.value();
+            windows.got(askedAt, of.track.value());
         }
         series.add(askedAt, 1 + how.ordinal(), 1);
     }
--- a/replay/src/main/java/tillerlink/replay/Page.java
+++ b/replay/src/main/java/tillerlink/replay/Page.java
@@ -49,7 +49,7 @@
                 + "svg{display:block}.bad{color:#c53030}</style>");
         out.printf(Locale.ROOT, "<h1>Replay of a %s trace, %s</h1>", escaped(run.job().layout().name()),
                 escaped(run.job().policyName()));
-        out.printf(Locale.ROOT, "<p>Served <b>%.4f</b> of the payoff asked for, %.4f in the worst 10 s (from %.0f s), "
+        out.printf(Locale.ROOT, "<p>Served <b>%.4f</b> of the value asked for, %.4f in the worst 10 s (from %.0f s), "
                 + "%.4f on the worst track. %d gateways, %d emulated engines with %.0f cores, %.1f s.</p>",
                 figures.whole(), figures.worstWindow(), figures.worstWindowFrom() / (double) Figures.SECOND,
                 figures.worstTrack(), run.job().fleet().gateways(), run.job().fleet().engines().size(),
--- a/replay/src/main/java/tillerlink/replay/Windows.java
+++ b/replay/src/main/java/tillerlink/replay/Windows.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 
 /**
- * The worst window of a run: payoff answered in time over payoff asked for, by when it was asked. Windows are closed
+ * The worst window of a run: value answered in time over value asked for, by when it was asked. Windows are closed
  * once everything of them must have ended, so that only a few are ever kept.
  */
 final class Windows {
@@ -32,15 +32,15 @@
         this.countLeast = countLeast;
     }
 
-    void asked(long at, double payoff) {
+    void asked(long at, double value) {
         close(at);
         Window window = at(at);
-        window.asked += payoff;
+        window.asked += value;
         window.count++;
     }
 
-    void got(long askedAt, double payoff) {
-        at(askedAt).got += payoff;
+    void got(long askedAt, double value) {
+        at(askedAt).got += value;
     }
 
     private Window at(long at) {
--- a/tools/src/main/java/tillerlink/cli/ReplayCommand.java
+++ b/tools/src/main/java/tillerlink/cli/ReplayCommand.java
@@ -32,7 +32,7 @@
 @Command(name = "replay", mixinStandardHelpOptions = true,
         description = "Replay a cluster trace through real gateways against emulated engines, in virtual time.",
         footer = {"", "Layouts: google-2011 (ClusterData 2011, task_events), alibaba-2018 (batch_task), azure-2019",
-            "(vmtable). The figure is the payoff answered within the soft limit over the payoff asked for."})
+            "(vmtable). The figure is the value answered within the soft limit over the value asked for."})
 final class ReplayCommand implements Callable<Integer> {
     /** What decides. */
     enum Choice { MODULE, RANDOM, LEAST_OUTSTANDING }
--- a/traces/src/main/java/tillerlink/workload/Track.java
+++ b/traces/src/main/java/tillerlink/workload/Track.java
@@ -14,8 +14,8 @@
  * @param median    what the median of its tasks' work is scaled to, in tenths of a millisecond on one core
  * @param rows      tests of a row that must all hold; none takes every row that no track before it took
  */
-public record Track(String name, Effect effect, int width, long softLimit, long deadline, double payoff,
-                    double latePayoff, List<String> kinds, long window, double median, List<Layout.Test> rows) {
+public record Track(String name, Effect effect, int width, long softLimit, long deadline, double value,
+                    double lateValue, List<String> kinds, long window, double median, List<Layout.Test> rows) {
     private static final int SHARE_OF_SOFT = 2;
 
     /** Beyond this much work a submission could hardly be answered within its soft limit on an idle engine. */
