--- a/gateway/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientLink.java
@@ -21,8 +21,10 @@
     /** How long, and how much, is read and thrown away after a refusal: an early close might overtake it. */
     private static final long LINGER = 1000 * Units.TENTHS_PER_MS;
     private static final int DISCARDED_MOST = 262_144;
-    /** More than this beside a call in hand, and nothing further is read until that is answered: so much of it as memory
-     * is short, else a whole call. Where nothing is read, its end is not seen either. */
+    /**
+     * More than this beside a call in hand, where memory is short, and nothing further is read until that is answered;
+     * else a whole call. Where nothing is read, its end is not seen either.
+     */
     private static final int PIPELINED_MOST = 16_384;
     private static final int PIPELINED_WITH_ROOM = 131_072 + PIPELINED_MOST;
 
@@ -221,9 +223,9 @@
         }
     }
 
-    /** Whether an answer is not out yet that nothing but this connection waits for. */
+    /** Whether this connection alone waits for an answer: one not out yet, or at the end that to a half-read call. */
     boolean busy() {
-        return sending() || owed && !over;
+        return sending() || !over && (owed || door.closing() && reader.midway());
     }
 
     boolean sending() {
--- a/gateway/src/test/java/tillerlink/net/life/EndingsTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/EndingsTest.java
@@ -1,6 +1,7 @@
 package tillerlink.net.life;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.io.IOException;
@@ -147,6 +148,33 @@
         loopback.nobodyElse(0);
     }
 
+    /** Guards a call of which half has come when nothing further is taken, and nothing else is owed: it is waited for. */
+    @Test
+    void theEndWaitsForACallThatIsHalfRead() throws Exception {
+        loopback = new Loopback(1);
+        Peer client = loopback.client();
+        loopback.turn();
+        loopback.hold();
+        String text = Peer.posting(ONE, "look", 4500);
+        client.say(text.substring(0, 60));
+        loopback.came(1);
+        loopback.letGo();
+        Shutdown shutdown = loopback.ask(Shutdown::new);
+        long told = loopback.now();
+        loopback.ask(gateway -> {
+            shutdown.begin(told);
+            return shutdown.done(told + 7000);
+        });
+        boolean gone = loopback.ask(gateway -> shutdown.done(told + 12_000));
+        assertFalse(gone);
+        client.say(text.substring(60));
+        client.heard("{\"problem\":\"Full\"}");
+        client.endedAndRead();
+        loopback.nobodyElse(0);
+        client.close();
+        Loopback.await(() -> loopback.ask(gateway -> shutdown.done(told + 13_000)), "it does not end");
+    }
+
     // ---- the name service ----
 
     /** Guards drains: a way to the name service that falls silent for good is noticed and another taken within the grace. */
--- a/gateway/src/test/java/tillerlink/net/life/Loopback.java
+++ b/gateway/src/test/java/tillerlink/net/life/Loopback.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import tillerlink.Policy;
 import tillerlink.model.Engine;
 import tillerlink.net.io.MinaDriver;
@@ -181,12 +182,11 @@
         }
     }
 
-    /** Time passes and no turn is taken. */
-    void stall(long ms) {
-        now.addAndGet(ms * TENTHS);
+    long now() {
+        return now.get();
     }
 
-    <T> T ask(java.util.function.Function<Gateway, T> question) {
+    <T> T ask(Function<Gateway, T> question) {
         List<T> answer = new ArrayList<>();
         turns.queue.add(() -> answer.add(question.apply(gateway)));
         turn();
