--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -55,6 +55,8 @@
         Path path = Path.of(file);
         // From the first moment on, for a JVM that nobody told otherwise ends on this signal.
         boolean heard = onHangUp(() -> reload(path));
+        // Before it is read: a file that is replaced from then on is read again.
+        Watch watch = new Watch(path, () -> reload(path));
         Assignment told = Assignment.read(path);
         int inUse = descriptorsInUse() + DESCRIPTORS_KEPT;
         Assignment assignment = told.without(inUse);
@@ -72,7 +74,7 @@
         gateway.beside(side);
         if (!heard) {
             LOG.warn("SIGHUP was ignored by what started this process, so {} is watched for changes instead", path);
-            new Watch(path, () -> reload(path)).start();
+            watch.start();
         }
         shutdown = new Shutdown(gateway);
         try {
--- a/gateway/src/test/java/tillerlink/ServeTest.java
+++ b/gateway/src/test/java/tillerlink/ServeTest.java
@@ -135,6 +135,19 @@
         assertTrue(gateway.isAlive());
     }
 
+    /** Guards the same where SIGHUP was ignored: a file that is replaced before it is watched. */
+    @Test
+    void itsConfigurationChangesWhileItStartsAndNobodyHearsSignals() throws Exception {
+        Process gateway = start(configuration(), "sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        gateway.errorReader(StandardCharsets.UTF_8).readLine();
+        names.close();
+        names = new DatagramSocket(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+        names.setSoTimeout((int) PATIENCE.toMillis());
+        Files.writeString(folder.resolve("configuration.json"), configuration());
+        names.receive(new DatagramPacket(new byte[512], 512));
+        assertTrue(gateway.isAlive());
+    }
+
     /** Guards a restart in step: told to end before it listens, it ends at once; told twice while it serves, as once. */
     @Test
     void endsWheneverItIsTold() throws Exception {
