--- a/gateway/src/test/java/tillerlink/net/life/EndingsTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/EndingsTest.java
@@ -37,9 +37,7 @@
     void noAttemptBeginsWhileNobodyWaits() throws Exception {
         loopback = new Loopback(1);
         Peer client = loopback.posted(ONE, "look", 4500);
-        client.get(ONE);
-        Peer engine = loopback.engine(0);
-        assertEquals(ONE, engine.wanted());
+        Peer engine = hasIt(client);
         loopback.hold();
         client.close();
         loopback.came(1);
@@ -60,9 +58,7 @@
     void aCloseThatIsUnreadWhenTheAttemptIsDecided() throws Exception {
         loopback = new Loopback(1);
         Peer client = loopback.posted(ONE, "look", 4500);
-        client.get(ONE);
-        Peer engine = loopback.engine(0);
-        assertEquals(ONE, engine.wanted());
+        Peer engine = hasIt(client);
         loopback.turn();
         loopback.hold();
         loopback.tellOnly(1);
@@ -96,9 +92,7 @@
     void theTimeForRepeatsEndsWhileTheConnectionComesUp() throws Exception {
         loopback = new Loopback(1);
         Peer client = loopback.posted(ONE, "load", 4500);
-        client.get(ONE);
-        Peer engine = loopback.engine(0);
-        assertEquals(ONE, engine.wanted());
+        Peer engine = hasIt(client);
         loopback.turn();
         loopback.hold();
         // The reset, then the pass before the repeat: then the connection for it.
@@ -224,6 +218,14 @@
         return question.getSocketAddress();
     }
 
+    /** The client waits; the engine that has what it asked for. */
+    private Peer hasIt(Peer client) throws IOException {
+        client.get(ONE);
+        Peer engine = loopback.engine(0);
+        assertEquals(ONE, engine.wanted());
+        return engine;
+    }
+
     /** Another client is served on that connection, and meanwhile nothing else was sent there, nor over a further one. */
     private void othersAreServed(Peer engine, String id) throws IOException {
         Peer other = loopback.posted(id, "look", 4500);
--- a/gateway/src/test/java/tillerlink/net/life/ProcessTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/ProcessTest.java
@@ -93,11 +93,7 @@
         rests.say("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
         rests.heard("{}");
         Peer taken = client();
-        taken.post(ONE, "look", 8000);
-        taken.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
-        taken.get(ONE);
-        Engine engine = new Engine(engines.accept());
-        assertEquals(ONE, engine.wanted());
+        Engine engine = waitsFor(taken);
         String text = Peer.posting(TWO, "look", 8000);
         Peer half = client();
         half.say(text.substring(0, 60));
@@ -122,11 +118,7 @@
     void whatHangsAtTheEndIsAnswered() throws Exception {
         start(folder.resolve("log").toFile(), 1024);
         Peer waits = client();
-        waits.post(ONE, "look", 8000);
-        waits.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
-        waits.get(ONE);
-        Engine engine = new Engine(engines.accept());
-        assertEquals(ONE, engine.wanted());
+        Engine engine = waitsFor(waits);
         long told = System.nanoTime();
         process.destroy();
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
@@ -165,15 +157,21 @@
 
     private void served() throws Exception {
         Peer waits = client();
-        waits.post(ONE, "look", 8000);
-        waits.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
-        waits.get(ONE);
-        Engine engine = new Engine(engines.accept());
-        assertEquals(ONE, engine.wanted());
+        Engine engine = waitsFor(waits);
         engine.say(ONE + " ok count=1 0\r\n\r\n");
         waits.heard(ROWS);
     }
 
+    /** A client hands a statement in and waits for its result; the engine that has it. */
+    private Engine waitsFor(Peer client) throws Exception {
+        client.post(ONE, "look", 8000);
+        client.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
+        client.get(ONE);
+        Engine engine = new Engine(engines.accept());
+        assertEquals(ONE, engine.wanted());
+        return engine;
+    }
+
     private Peer client() throws IOException {
         Socket socket = new Socket(HERE, port);
         socket.setTcpNoDelay(true);
