--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -22,8 +22,8 @@
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /**
-     * Kept in reserve beside those that the process has open when it starts: two ways to the name service and one that is
-     * being replaced, the door, three selectors of three each, the configuration read again, and a few of the system's.
+     * Kept in reserve beside those that the process has open when it starts: two ways to the name service and one that
+     * is being replaced, the door, three selectors of three each, the configuration read again, some of the system's.
      */
     private static final int DESCRIPTORS_KEPT = 24;
 
@@ -92,7 +92,7 @@
         }
     }
 
-    /** What files, pipes and sockets of its own the process has open; where the system does not tell, none is counted. */
+    /** What files, pipes and sockets of its own the process has open; none is counted if the system does not tell. */
     private static int descriptorsInUse() {
         String[] open = new File("/proc/self/fd").list();
         return open == null ? 0 : open.length;
--- a/traces/src/main/java/tillerlink/workload/BuiltIn.java
+++ b/traces/src/main/java/tillerlink/workload/BuiltIn.java
@@ -34,6 +34,7 @@
                         intake),
                 new Track("sheet", Effect.PURE, 3, 5 * SECOND / 2, 24 * SECOND, 3, 1.2, List.of("small-8"), 0, 6000,
                         sheet),
-                new Track("look", Effect.PURE, 1, 9 * SECOND / 10, 9 * SECOND / 2, 1, 0.25, List.of(), 0, 800, List.of()));
+                new Track("look", Effect.PURE, 1, 9 * SECOND / 10, 9 * SECOND / 2, 1, 0.25, List.of(), 0, 800,
+                        List.of()));
     }
 }
