--- a/gateway/src/test/java/tillerlink/Stage.java
+++ b/gateway/src/test/java/tillerlink/Stage.java
@@ -47,7 +47,8 @@
         clients.clear();
         unsent.clear();
         stuck = false;
-        Map<String, Object> caps = terse ? Map.of("max_attempts", 3L) : Map.of("max_attempts", 3L, "may_cancel", true, "retry_after", true, "max_retry_after_us",
+        Map<String, Object> caps = terse ? Map.of("max_attempts", 3L)
+                : Map.of("max_attempts", 3L, "may_cancel", true, "retry_after", true, "max_retry_after_us",
                 1_000_000L, "streams_per_conn", 32L, "connect_timeout_us", 250_000L, "conn_idle_us", 30_000_000L);
         Map<String, Object> look = Map.of("name", "look", "semantics", "repeatable", "aim_us", terse ? 400_000L : 1_000_000L, "hard_limit_us",
                 5_000_000L, "worth", 1.0, "late_worth", 0.5);
--- a/gateway/src/test/java/tillerlink/Trace.java
+++ b/gateway/src/test/java/tillerlink/Trace.java
@@ -122,7 +122,8 @@
         Engine engine = engines.computeIfAbsent(name, Engine::new);
         int kind = name.startsWith("big") ? 1 : 0;
         int zone = name.charAt(name.length() - 1) - '0';
-        policy.listed(now, false, List.of(new Listed(engine, renamed ? 1 - kind : kind, renamed ? zone + OTHER_ZONES : zone, 0, 1, standing, startedAgo == 0 ? 0 : now - startedAgo * tenths)));
+        policy.listed(now, false, List.of(new Listed(engine, renamed ? 1 - kind : kind, renamed ? zone + OTHER_ZONES : zone,
+                0, 1, standing, startedAgo == 0 ? 0 : now - startedAgo * tenths)));
         return settle();
     }
 
