Log and count why attempts, requests and connections end, and serve /metrics

Change: tillerlink.telemetry (counters in Prometheus text at GET /metrics, event lines bounded in rate for each topic); the policy names its reason for giving a request up (EndReason); client and engine connections tell who ended them and how. A metrics library was weighed and not taken: it adds classes to every start for 17 counters; that cost was not measured.

--- a/emulator/src/main/java/tillerlink/emulator/Seat.java
+++ b/emulator/src/main/java/tillerlink/emulator/Seat.java
@@ -15,6 +15,7 @@
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.port.SteeringFactory;
 import tillerlink.standin.NameAnswer;
+import tillerlink.telemetry.Telemetry;
 
 /**
  * A real gateway, its state and its module, on a driver in memory: what comes at one moment is told in one turn, in the
@@ -54,7 +55,7 @@
             told(world.list());
         }
         gateway = new Gateway(world.fleet.assignment(place, seeds.nextLong(), world.tracks, world.news()), modules,
-                this, world.now(), BYTES_MOST, world.fleet.carriers(), world.recalls.apply(place));
+                this, world.now(), BYTES_MOST, world.fleet.carriers(), world.recalls.apply(place), Telemetry.silent());
         post(() -> { });
     }
 
--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -319,7 +319,7 @@
     @Override
     public void outOfTime(long now, Submission s) {
         if (s.ending == null) {
-            giveUp(now, s);
+            giveUp(now, s, EndReason.SHUTDOWN);
         }
     }
 
@@ -425,8 +425,9 @@
                 break;
             }
             Submission s = next.queue.peekFirst();
-            if (blind || hopeless(now, s) || (!s.hops.isEmpty() && !budgetLeft(now))) {
-                giveUp(now, s);
+            EndReason hindrance = hindrance(now, s);
+            if (hindrance != null) {
+                giveUp(now, s, hindrance);
                 continue;
             }
             Engine engine = choose(now, s);
@@ -442,6 +443,17 @@
         fresh.clear();
     }
 
+    /** Why a submission that waits for an engine can't be sent to any, now or later; null if it can. */
+    private EndReason hindrance(long now, Submission s) {
+        if (blind) {
+            return EndReason.ENGINES_UNKNOWN;
+        }
+        if (hopeless(now, s)) {
+            return EndReason.NO_TIME_LEFT;
+        }
+        return !s.hops.isEmpty() && !budgetLeft(now) ? EndReason.RETRY_BUDGET : null;
+    }
+
     /**
      * Held, and no longer able to be answered within its soft limit. Guards against clients that come with
      * little time: while all are bounded, what they leave before it can end is not even sent once.
@@ -474,12 +486,13 @@
             double used = (now - head.arrivedAt) / most;
             double limit = s.track.work.at(now) * Math.max(0, 1 - used) / Math.max(1e-3, used);
             if (work(now, s) > limit) {
-                giveUp(now, s);
+                giveUp(now, s, EndReason.QUEUE_TOO_LONG);
             }
         }
     }
 
-    private void giveUp(long now, Submission s) {
+    private void giveUp(long now, Submission s, EndReason reason) {
+        s.endReason = reason;
         boolean back = mayTurnBack(s);
         s.ending = back ? Ending.TURNED_BACK : Ending.BROKEN_OFF;
         if (back && settings.flag("caps.retry_after")) {
@@ -905,7 +918,7 @@
         if (worthAnother(now, s)) {
             hold(s, true);
         } else {
-            giveUp(now, s);
+            giveUp(now, s, EndReason.NO_FURTHER_ATTEMPT);
         }
     }
 
@@ -920,13 +933,13 @@
             return;
         }
         if (now >= tooLateAt(now, s)) {
-            giveUp(now, s);
+            giveUp(now, s, EndReason.TOO_LATE);
             return;
         }
         if (s.hopsOut == 0) {
             advance(now, s);
             if (s.held && hopeless(now, s)) {
-                giveUp(now, s);
+                giveUp(now, s, EndReason.NO_TIME_LEFT);
             } else if (s.wakeAt == Long.MAX_VALUE) {
                 alarms.set(s, s.held ? Math.max(now + tick, hopelessAt(now, s)) : tooLateAt(now, s));
             }
--- a/gateway/src/main/java/tillerlink/model/Submission.java
+++ b/gateway/src/main/java/tillerlink/model/Submission.java
@@ -30,6 +30,8 @@
     public boolean begun;
     /** Null while an answer is owed. */
     public Ending ending;
+    /** Why the policy gave it up; null if it did not. */
+    public EndReason endReason;
     /** No engine can use it. */
     public boolean unusable;
     public boolean told;
--- a/gateway/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/gateway/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -10,12 +10,14 @@
 import tillerlink.net.wire.Assignment;
 import tillerlink.plain.Units;
 import tillerlink.port.SteeringFactory;
+import tillerlink.telemetry.Telemetry;
 
 /**
  * Plays made-up submissions through a gateway of its own, of which nobody hears, before the real one listens. Guards
  * the first seconds: code that was not yet called is not compiled and takes many times as long, on part of a core.
  */
 final class Rehearsal implements Driver {
+    private static final int HEAP_SHARE = 4;
     private static final int ROUNDS = 600;
     private static final long STEP = 20 * Units.TENTHS_PER_MS;
     private static final long NANOS_MOST = 1_500_000_000;
@@ -31,7 +33,7 @@
     Rehearsal(Assignment assignment, SteeringFactory modules, long now) {
         this.assignment = assignment;
         this.now = now;
-        gateway = new Gateway(assignment, modules, this, now);
+        gateway = new Gateway(assignment, modules, this, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, null, null, Telemetry.silent());
     }
 
     void play() {
--- a/gateway/src/main/java/tillerlink/net/state/Carrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import tillerlink.model.Note;
 import tillerlink.model.Outcome;
+import tillerlink.telemetry.Telemetry;
 
 /** How hops reach one engine and what it says of them comes back: its connections, in whatever protocol it speaks. */
 public interface Carrier {
@@ -26,6 +27,9 @@
         /** Bytes that are kept for a client, or no longer. */
         void held(long more);
 
+        /** What is counted and logged of attempts and connections. */
+        Telemetry telemetry();
+
         /** Warns, at a bounded rate. */
         void rarely(String line);
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -19,6 +19,8 @@
 import tillerlink.net.wire.HttpFault;
 import tillerlink.net.wire.HttpItem;
 import tillerlink.plain.Units;
+import tillerlink.telemetry.Counter;
+import tillerlink.telemetry.EventLog.Topic;
 
 /**
  * What clients ask for and what they are owed. A submission is answered at once with the path of its result; the call
@@ -28,6 +30,7 @@
     private static final String CALLS = "/v1/calls/";
     private static final String SUBMIT = "/v1/";
     private static final String HEALTH = "/healthz";
+    private static final String METRICS = "/metrics";
     private static final int OPEN_MOST = 4096;
     /** A client that would wait longer than this many of the longest deadlines is none of ours. */
     private static final int PATIENCE_MOST = 2;
@@ -92,8 +95,9 @@
             return;
         }
         int over = (int) clients.stream().filter(ClientLink::over).count();
-        first(more, clients.stream().filter(ClientLink::over)).forEach(ClientLink::drop);
-        first(more - over, clients.stream().filter(client -> !client.over())).forEach(ClientLink::end);
+        first(more, clients.stream().filter(ClientLink::over)).forEach(client -> client.drop(ClientEnd.NO_ROOM));
+        first(more - over, clients.stream().filter(client -> !client.over()))
+                .forEach(client -> client.end(ClientEnd.NO_ROOM));
     }
 
     /** So many of those that may go, those of least use first. */
@@ -103,6 +107,19 @@
                 .limit(Math.max(0, most)).toList();
     }
 
+    /**
+     * A connection has ended.
+     *
+     * @param call the last that was handed in or waited for on it, or null
+     */
+    void connectionEnded(ClientEnd how, Call call) {
+        gateway.telemetry().metrics().add(Counter.CLIENT_CONNECTIONS_ENDED, how);
+        if (call != null && !call.settled()) {
+            gateway.telemetry().log().event(now(), Topic.CONNECTION, "client connection ended under a request", "id",
+                    call.ask.id(), "how", how, "after_ms", (now() - call.submission.arrivedAt) / Units.TENTHS_PER_MS);
+        }
+    }
+
     void forget(ClientLink client) {
         clients.remove(client);
     }
@@ -150,6 +167,8 @@
             case GET -> {
                 if (path.equals(HEALTH)) {
                     client.answer(draining ? HttpAnswer.problem(503, "Draining", 0) : HttpAnswer.done());
+                } else if (path.equals(METRICS)) {
+                    client.answer(HttpAnswer.text(gateway.telemetry().metrics().exposition()));
                 } else {
                     fetch(client, known(path));
                 }
@@ -240,7 +259,7 @@
     private static void stopWaiting(Call call) {
         if (call.waiting != null) {
             call.waiting.waitsFor = null;
-            call.waiting.drop();
+            call.waiting.drop(ClientEnd.SUPERSEDED);
             call.waiting = null;
         }
     }
--- a/gateway/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientLink.java
@@ -37,6 +37,8 @@
     private boolean lastCall;
     private boolean held;
     private boolean over;
+    /** Why it was ended from here; null while it was not. */
+    private ClientEnd ourEnd;
     /** A whole call has come. */
     private boolean spoken;
     private int handedInSoFar;
@@ -125,6 +127,8 @@
 
     @Override
     public void ended(Break how) {
+        ClientEnd theirs = how == Break.RESET ? ClientEnd.RESET_BY_CLIENT : ClientEnd.CLOSED_BY_CLIENT;
+        door.connectionEnded(ourEnd == null ? theirs : ourEnd, waitsFor == null ? handedIn : waitsFor);
         over = true;
         if (waitsFor != null) {
             waitsFor.waiting = null;
@@ -193,6 +197,7 @@
         write((lastCall ? answer.ending() : answer).encoded());
         if (lastCall) {
             over = true;
+            ourEnd = ClientEnd.AFTER_ANSWER;
             pipe.close();
         }
     }
@@ -202,6 +207,7 @@
         quietSince = door.now();
         write(answer.ending().encoded());
         over = true;
+        ourEnd = ClientEnd.AFTER_REFUSAL;
     }
 
     /** The call in hand is answered by another, once, now or later. */
@@ -240,12 +246,12 @@
         long now = door.now();
         if (over || sending()) {
             if (now >= quietSince + (over && !sending() ? LINGER : STALLED_MOST)) {
-                drop();
+                drop(ClientEnd.STALLED);
             }
         } else if (!inHand && reader.midway() && now >= callSince + CALL_MOST) {
             refuse(HttpAnswer.problem(408, "Timeout", 0));
         } else if (!inHand && now >= quietSince + (spoken ? IDLE_MOST : CALL_MOST)) {
-            end();
+            end(ClientEnd.IDLE);
         } else if (door.closing()) {
             endResting();
         }
@@ -255,7 +261,7 @@
     private void endResting() {
         boolean fetches = handedIn != null && !handedIn.left && !handedIn.handedOut;
         if (!over && !inHand && !reader.midway() && !fetches) {
-            end();
+            end(ClientEnd.SHUTDOWN);
         }
     }
 
@@ -266,15 +272,17 @@
     }
 
     /** Ends it with no word; what its client may be saying in this moment is read and not taken. */
-    void end() {
+    void end(ClientEnd why) {
         over = true;
+        ourEnd = why;
         quietSince = door.now();
         pipe.close();
     }
 
     /** Ends it at once, with no word. */
-    void drop() {
+    void drop(ClientEnd why) {
         over = true;
+        ourEnd = ourEnd == null ? why : ourEnd;
         pipe.drop();
         door.forget(this);
     }
--- a/gateway/src/main/java/tillerlink/net/state/Discovery.java
+++ b/gateway/src/main/java/tillerlink/net/state/Discovery.java
@@ -6,6 +6,8 @@
 import tillerlink.model.Listed;
 import tillerlink.net.wire.EngineNews;
 import tillerlink.port.Steering;
+import tillerlink.telemetry.EventLog.Topic;
+import tillerlink.telemetry.Telemetry;
 
 /** What discovery tells of the engines, or is remembered of them while it tells nothing, reaches the module. */
 final class Discovery {
@@ -14,14 +16,16 @@
     private final EngineList engines;
     private final Steering steering;
     private final Recall recall;
+    private final Telemetry telemetry;
     /** No list was told since the start. */
     private boolean blind;
 
     /** @param recall what is remembered across restarts; null: nothing */
-    Discovery(EngineList engines, Steering steering, Recall recall) {
+    Discovery(EngineList engines, Steering steering, Recall recall, Telemetry telemetry) {
         this.engines = engines;
         this.steering = steering;
         this.recall = recall;
+        this.telemetry = telemetry;
     }
 
     /** What was known at the start. */
@@ -39,6 +43,8 @@
         EngineNews news = recall != null && newer ? recall.told(now, told) : told;
         List<Listed> entries = engines.take(news);
         if (entries != null) {
+            telemetry.log().event(now, Topic.DISCOVERY, "engine list taken in", "version", news.index(), "engines",
+                    entries.size(), "whole", news.whole(), "newer", newer);
             steering.listed(now, news.whole(), entries);
         }
         if (blind && newer) {
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -11,6 +11,8 @@
 import tillerlink.net.wire.EngineAnswer;
 import tillerlink.net.wire.EngineCommand;
 import tillerlink.net.wire.EngineReader;
+import tillerlink.telemetry.Counter;
+import tillerlink.telemetry.EventLog.Topic;
 
 /** A connection to an engine, which bears many hops. */
 final class EngineLink implements Pipe.Owner {
@@ -185,6 +187,7 @@
     }
 
     private void want(Flight flight) {
+        gateway.telemetry().metrics().add(Counter.ATTEMPTS_WRITTEN);
         flight.place = write(EngineCommand.want(flight.id(), flight.track(), flight.millisLeft(gateway.now()),
                 flight.key(), flight.statement()));
         if (flight.guarded()) {
@@ -350,6 +353,14 @@
         end(how, false);
     }
 
+    private void countEnd(Break how) {
+        gateway.telemetry().metrics().add(Counter.ENGINE_CONNECTIONS_ENDED, how);
+        if (how != Break.CLOSED_BY_US || !flights.isEmpty()) {
+            gateway.telemetry().log().event(gateway.now(), Topic.CONNECTION, "engine connection ended", "engine", site.id,
+                    "how", how, "attempts", flights.size(), "up", open);
+        }
+    }
+
     /**
      * Ends the connection; each hop on it ends as that means for it. Only once the connection has ended by itself is it
      * known what was written: while it is open, a hop that was handed over may be on its way though nobody said so yet.
@@ -359,6 +370,7 @@
             return;
         }
         over = true;
+        countEnd(how);
         carrier.linkEnded(this);
         if (how == Break.CLOSED_BY_US) {
             pipe.close();
--- a/gateway/src/main/java/tillerlink/net/state/EngineList.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineList.java
@@ -11,6 +11,8 @@
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.net.wire.EngineNews;
 import tillerlink.plain.Units;
+import tillerlink.telemetry.EventLog.Topic;
+import tillerlink.telemetry.Telemetry;
 
 /** The engines as last told. */
 final class EngineList {
@@ -21,10 +23,12 @@
     /** The newest news that were not whole. */
     private long partialIndex;
 
+    private final Telemetry telemetry;
     private final Carrier.Owner owner;
     private final Carrier.Factory carriers;
 
-    EngineList(Named terms, Carrier.Owner owner, Carrier.Factory carriers) {
+    EngineList(Named terms, Telemetry telemetry, Carrier.Owner owner, Carrier.Factory carriers) {
+        this.telemetry = telemetry;
         this.owner = owner;
         this.carriers = carriers;
         kinds = terms.list("models");
@@ -79,6 +83,7 @@
                 sites.put(entry.id(), site);
             }
             site.at(entry);
+            logChange(site, entry, news.index());
             listed.add(new Listed(site.engine, place(kinds, entry.kind()), place(zones, entry.zone()), entry.cell(),
                     entry.weight(), entry.standing(),
                     entry.startedMs() == 0 ? 0 : entry.startedMs() * Units.TENTHS_PER_MS,
@@ -87,6 +92,13 @@
         return listed;
     }
 
+    private void logChange(EngineSite site, EngineEntry entry, long version) {
+        if (site.engine.standing != entry.standing()) {
+            telemetry.log().event(owner.now(), Topic.ENGINE, "engine state changed", "engine", site.id, "from",
+                    site.engine.standing, "to", entry.standing(), "version", version, "address", site.address());
+        }
+    }
+
     /** A name that the settings don't know stands behind all that they do. */
     private static int place(List<?> names, String name) {
         int place = names.indexOf(name);
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -19,6 +19,9 @@
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
 import tillerlink.port.SteeringFactory;
+import tillerlink.telemetry.Counter;
+import tillerlink.telemetry.EventLog.Topic;
+import tillerlink.telemetry.Telemetry;
 
 /**
  * One gateway's state and its door to the module: what clients, engines and the name service say becomes events,
@@ -40,6 +43,7 @@
     /** What stands beside the module, or null. */
     private Side side;
     private final Steering steering;
+    private final Telemetry telemetry;
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
     private final long connectMost;
@@ -65,17 +69,20 @@
     /** With a bound by this process' heap on what is kept for clients. */
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, Carrier.Factory carriers,
                    Recall recall) {
-        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, carriers, recall);
+        this(assignment, factory, driver, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, carriers, recall,
+                Telemetry.logging());
     }
 
     /**
      * @param bytesMost how much may be kept for clients; beyond it no submission is taken
      * @param carriers  how engines are reached, by their kinds; null, or null for an engine: over engine lines
      * @param recall    what is remembered across restarts; null: nothing
+     * @param telemetry what it counts and logs
      */
     public Gateway(Assignment assignment, SteeringFactory factory, Driver driver, long now, long bytesMost,
-                   Carrier.Factory carriers, Recall recall) {
+                   Carrier.Factory carriers, Recall recall, Telemetry telemetry) {
         this.driver = driver;
+        this.telemetry = telemetry;
         this.now = now;
         Map<String, Object> plain = PlainNames.of(assignment.terms());
         Named terms = new Named(plain);
@@ -90,18 +97,21 @@
         // Engines that close nothing: whoever came before it fell idle waits no more.
         idleMost = stated(terms, "caps.conn_idle", 2 * clients.longestDeadline()) / 2;
         guarded = new Guarded(this, clients);
-        engines = new EngineList(terms, this, (owner, site, kind) -> {
+        engines = new EngineList(terms, telemetry, this, (owner, site, kind) -> {
             Carrier carrier = carriers == null ? null : carriers.of(owner, site, kind);
             return carrier == null ? new LineCarrier(owner, site, streams) : carrier;
         });
         // With no grace, or none stated, a drain is obeyed at once; asked for is only how fresh the list is.
         long grace = stated(terms, "guarantees.drain_grace", soon);
         holdMost = Math.min(grace, connectMost) / 2;
-        names = new NameService(driver, assignment.seed(), now, grace);
+        names = new NameService(driver, assignment.seed(), now, grace, telemetry);
         steering = factory.start(now, assignment.seed(), plain, this);
-        discovery = new Discovery(engines, steering, recall);
+        discovery = new Discovery(engines, steering, recall, telemetry);
         discovery.start(now, assignment.known());
         unsettled = true;
+        telemetry.metrics().gauge("engine_list_version", "Number of the last event of the engine list.", engines::index);
+        telemetry.metrics().gauge("engine_connections", "Engine connections open or coming up.", () -> links);
+        telemetry.metrics().gauge("requests_owed", "Requests taken and not yet answered.", () -> clients.owed().size());
     }
 
     private static long stated(Named terms, String name, long otherwise) {
@@ -198,12 +208,19 @@
         return clients.accepted(pipe);
     }
 
+    @Override
+    public Telemetry telemetry() {
+        return telemetry;
+    }
+
     void arrived(Call call) {
+        telemetry.metrics().add(Counter.REQUESTS_TAKEN);
         steering.arrived(now, call.submission);
         unsettled = true;
     }
 
     void left(Call call) {
+        telemetry.metrics().add(Counter.REQUESTS_ABANDONED);
         steering.left(now, call.submission);
         unsettled = true;
     }
@@ -252,10 +269,26 @@
         flight.forgetAnswer();
         held(-flight.bytes);
         long lag = now - flight.hop.sentAt;
+        countEnd(flight, outcome, lag);
         steering.ended(now, flight.hop, outcome, lag, flight.call.settled(), 0, 0, null);
         unsettled = true;
     }
 
+    private void countEnd(Flight flight, Outcome outcome, long lag) {
+        telemetry.metrics().add(Counter.ATTEMPTS_ENDED, outcome);
+        if (outcome == Outcome.FULFILLED) {
+            telemetry.metrics().add(Counter.REQUESTS_ANSWERED);
+        } else {
+            telemetry.log().event(now, Topic.ATTEMPT, "attempt ended", "id", flight.id(), "attempt", flight.hop.number,
+                    "engine", engineId(flight), "outcome", outcome, "after_ms", lag / Units.TENTHS_PER_MS,
+                    "written", flight.place != Flight.UNSENT);
+        }
+    }
+
+    private static String engineId(Flight flight) {
+        return ((EngineSite) flight.hop.engine.tag).id;
+    }
+
     private static Carrier carrier(Flight flight) {
         return ((EngineSite) flight.hop.engine.tag).carrier;
     }
@@ -310,8 +343,9 @@
     /** A datagram of the name service. */
     public void told(byte[] datagram) {
         try {
-            unsettled |= discovery.listed(now, names.take(datagram));
+            unsettled |= discovery.listed(now, names.take(now, datagram));
         } catch (IllegalArgumentException e) {
+            telemetry.metrics().add(Counter.DISCOVERY_UNUSABLE_ANSWERS);
             rarely("name service: " + e.getMessage());
         }
     }
@@ -329,6 +363,12 @@
         Flight flight = new Flight(hop, call, wanted -> steering.mayBegin(now, wanted));
         call.flights.add(flight);
         ordered.add(flight);
+        telemetry.metrics().add(Counter.ATTEMPTS_ORDERED);
+        if (hop.number > 0) {
+            telemetry.metrics().add(Counter.ATTEMPTS_REPEATED);
+            telemetry.log().event(now, Topic.ATTEMPT, "attempt repeated", "id", flight.id(), "attempt", hop.number,
+                    "engine", engineId(flight), "after", hop.submission.hops.get(hop.number - 1).outcome);
+        }
     }
 
     /**
@@ -351,20 +391,33 @@
         Flight flight = ((Call) hop.submission.tag).flights.get(hop.number);
         if (hop.isOut()) {
             Outcome outcome = carrier(flight).giveUp(flight);
+            telemetry.log().event(now, Topic.ATTEMPT, "attempt given up", "id", flight.id(), "attempt", hop.number,
+                    "engine", engineId(flight), "client_left", flight.call.left,
+                    "request_ended", hop.submission.ending != null);
             next.add(() -> ended(flight, outcome));
         }
     }
 
     @Override
     public void turnBack(Submission submission, long comeBack) {
+        countGivenUp(Counter.REQUESTS_REFUSED, submission);
         clients.turnBack((Call) submission.tag, comeBack);
     }
 
     @Override
     public void breakOff(Submission submission) {
+        countGivenUp(Counter.REQUESTS_FAILED, submission);
         clients.breakOff((Call) submission.tag);
     }
 
+    private void countGivenUp(Counter counter, Submission submission) {
+        Call call = (Call) submission.tag;
+        telemetry.metrics().add(counter, submission.endReason);
+        telemetry.log().event(now, Topic.REQUEST, counter == Counter.REQUESTS_REFUSED ? "request refused" : "request failed",
+                "id", call.ask.id(), "reason", submission.endReason, "attempts", submission.hops.size(),
+                "after_ms", (now - submission.arrivedAt) / Units.TENTHS_PER_MS);
+    }
+
     @Override
     public void wake(long at) {
         wakeAt = Math.min(wakeAt, at);
--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -4,6 +4,10 @@
 import java.util.Random;
 import tillerlink.net.wire.Dns;
 import tillerlink.net.wire.EngineNews;
+import tillerlink.plain.Units;
+import tillerlink.telemetry.Counter;
+import tillerlink.telemetry.EventLog.Topic;
+import tillerlink.telemetry.Telemetry;
 
 /**
  * What was asked of the name service: an answer counts once, and only if it is one of the latest questions'.
@@ -18,8 +22,15 @@
     private static final int KEPT = 8;
     private static final int QUICK = 4;
     private static final double SPREAD = 0.2;
+    /** So many questions in a row without an answer are worth a line in the log. */
+    private static final int MANY_UNANSWERED = 3;
 
-    private final ArrayDeque<Integer> asked = new ArrayDeque<>();
+    /** A question that was sent and not yet answered. */
+    private record Question(int id, long askedAt) {
+    }
+
+    private final ArrayDeque<Question> asked = new ArrayDeque<>();
+    private final Telemetry telemetry;
     private final Random random;
     private final Driver driver;
     private final long period;
@@ -27,10 +38,12 @@
     private long nextAt;
     /** Questions since the last answer. */
     private int unanswered;
+    private boolean answeredBefore;
 
     /** @param grace how long after an answer was sent what it tells must be heeded */
-    NameService(Driver driver, long seed, long now, long grace) {
+    NameService(Driver driver, long seed, long now, long grace, Telemetry telemetry) {
         this.driver = driver;
+        this.telemetry = telemetry;
         random = new Random(seed);
         period = Math.max(1, grace);
         nextAt = now + (long) (period * random.nextDouble());
@@ -40,15 +53,21 @@
         if (now >= nextAt) {
             long wait = Math.min(period, period / QUICK << Math.max(0, Math.min(2 * QUICK, unanswered++) - QUICK));
             if (unanswered > 1 && unanswered % 2 == 1) {
+                telemetry.metrics().add(Counter.DISCOVERY_SOCKETS_REPLACED);
                 driver.askAfresh();
             }
+            if (unanswered == MANY_UNANSWERED + 1) {
+                telemetry.log().event(now, Topic.DISCOVERY, "name service does not answer", "unanswered", MANY_UNANSWERED,
+                        "since_ms", (now - asked.peekFirst().askedAt) / Units.TENTHS_PER_MS);
+            }
             lastAt = now;
             nextAt = now + Math.max(1, wait);
             int id = random.nextInt(1 << 16);
-            asked.addLast(id);
+            asked.addLast(new Question(id, now));
             if (asked.size() > KEPT) {
                 asked.removeFirst();
             }
+            telemetry.metrics().add(Counter.DISCOVERY_QUESTIONS);
             driver.ask(Dns.query(id));
         }
     }
@@ -65,14 +84,27 @@
     }
 
     /** @throws IllegalArgumentException if the datagram is of no use; the message says why */
-    EngineNews take(byte[] datagram) {
+    EngineNews take(long now, byte[] datagram) {
         int id = Dns.id(datagram);
-        if (!asked.remove((Integer) id)) {
+        Question question = asked.stream().filter(one -> one.id == id).findFirst().orElse(null);
+        if (question == null) {
             throw new IllegalArgumentException("an answer to no question of ours");
         }
+        asked.remove(question);
         EngineNews news = Dns.answer(datagram, id);
+        logAnswer(now, question, news);
         unanswered = 0;
         nextAt = lastAt + (long) (period * (1 - SPREAD * random.nextDouble()));
         return news;
     }
+
+    private void logAnswer(long now, Question question, EngineNews news) {
+        telemetry.metrics().add(Counter.DISCOVERY_ANSWERS);
+        if (!answeredBefore || unanswered > MANY_UNANSWERED) {
+            telemetry.log().event(now, Topic.DISCOVERY, answeredBefore ? "name service answers again" : "first answer",
+                    "version", news.index(), "unanswered", unanswered - 1,
+                    "asked_ms_ago", (now - question.askedAt) / Units.TENTHS_PER_MS);
+        }
+        answeredBefore = true;
+    }
 }
--- a/gateway/src/main/java/tillerlink/net/wire/HttpAnswer.java
+++ b/gateway/src/main/java/tillerlink/net/wire/HttpAnswer.java
@@ -7,8 +7,21 @@
  *
  * @param comeBack milliseconds to stay away, 0 for no advice
  * @param last     the connection ends after it
+ * @param type     the media type of the body
  */
-public record HttpAnswer(int status, byte[] body, long comeBack, boolean last) {
+public record HttpAnswer(int status, byte[] body, long comeBack, boolean last, String type) {
+    private static final String JSON = "application/json";
+    private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
+    public HttpAnswer(int status, byte[] body, long comeBack, boolean last) {
+        this(status, body, comeBack, last, JSON);
+    }
+
+    /** What monitoring reads. */
+    public static HttpAnswer text(String body) {
+        return new HttpAnswer(200, body.getBytes(StandardCharsets.UTF_8), 0, false, PROMETHEUS_TEXT);
+    }
+
     public static HttpAnswer done() {
         return of(200, "{}", 0);
     }
@@ -31,12 +44,13 @@
     }
 
     public HttpAnswer ending() {
-        return new HttpAnswer(status, body, comeBack, true);
+        return new HttpAnswer(status, body, comeBack, true, type);
     }
 
     public byte[] encoded() {
         StringBuilder head = new StringBuilder(160).append("HTTP/1.1 ").append(status).append(' ')
-                .append(reason()).append("\r\nContent-Type: application/json\r\nContent-Length: ").append(body.length);
+                .append(reason()).append("\r\nContent-Type: ").append(type).append("\r\nContent-Length: ")
+                .append(body.length);
         if (comeBack > 0) {
             head.append("\r\nX-Pushback-Ms: ").append(comeBack);
         }
--- a/gateway/src/test/java/tillerlink/ServeTest.java
+++ b/gateway/src/test/java/tillerlink/ServeTest.java
@@ -95,6 +95,20 @@
         awaitHealth();
     }
 
+    /** What monitoring reads beside the health path. */
+    @Test
+    void tellsMonitoringWhatItDid() throws Exception {
+        start(configuration());
+        awaitHealth();
+        ask("00000000000000a1", "SELECT 1", 200);
+        ask("00000000000000a2", "fail", 500);
+        HttpResponse<String> metrics = client.send(to("/metrics").build(), HttpResponse.BodyHandlers.ofString());
+        assertEquals("text/plain; version=0.0.4; charset=utf-8", metrics.headers().firstValue("Content-Type").orElse(""));
+        assertTrue(metrics.body().contains("tillerlink_requests_taken_total 2\n"), metrics.body());
+        assertTrue(metrics.body().contains("tillerlink_requests_answered_total 1\n"), metrics.body());
+        assertTrue(metrics.body().contains("tillerlink_invariant_violations_total 0\n"), metrics.body());
+    }
+
     @Test
     void manyAtOnce() throws Exception {
         start(configuration());
--- a/gateway/src/test/java/tillerlink/net/state/NameServiceTest.java
+++ b/gateway/src/test/java/tillerlink/net/state/NameServiceTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import tillerlink.telemetry.Telemetry;
 
 /** Questions of a whole fleet that was started at one moment. Times are tenths of a millisecond. */
 class NameServiceTest {
@@ -25,7 +26,7 @@
             int before = asked.ids.size();
             for (NameService one : fleet) {
                 one.sweep(now);
-                answer(one, asked, true);
+                answer(one, now, asked, true);
             }
             most = Math.max(most, asked.ids.size() - before);
         }
@@ -50,7 +51,7 @@
                 }
                 boolean arrives = losses == 3 || lost.nextInt(3) > 0;
                 losses = arrives ? 0 : losses + 1;
-                answer(one, asked, arrives);
+                answer(one, now, asked, arrives);
                 sentAt = sentAt < 0 ? now : sentAt;
                 if (arrives) {
                     assertTrue(now - sentAt < GRACE, "known " + (now - sentAt) + " after it was sent");
@@ -78,14 +79,14 @@
         Random seeds = new Random(1);
         List<NameService> fleet = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
-            fleet.add(new NameService(asked, seeds.nextLong(), 0, GRACE));
+            fleet.add(new NameService(asked, seeds.nextLong(), 0, GRACE, Telemetry.silent()));
         }
         return fleet;
     }
 
-    private static void answer(NameService one, Asked asked, boolean arrives) {
+    private static void answer(NameService one, long now, Asked asked, boolean arrives) {
         if (asked.unanswered >= 0 && arrives) {
-            one.take(tillerlink.Lists.answer(asked.unanswered, 1, "e1 ready 127.0.0.1:5050 east std 0 0"));
+            one.take(now, tillerlink.Lists.answer(asked.unanswered, 1, "e1 ready 127.0.0.1:5050 east std 0 0"));
         }
         asked.unanswered = -1;
     }
