--- /dev/null
+++ b/gateway/src/test/java/tillerlink/net/life/StandInEngine.java
@@ -0,0 +1,74 @@
+package tillerlink.net.life;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import tillerlink.net.life.Loopback.Peer;
+
+/** An engine that answers each attempt at once with no rows, and notes when attempts came. */
+final class StandInEngine implements Closeable {
+    private final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    /** When the first bytes of attempts were read, in nanoseconds. */
+    private final List<Long> attempts = new ArrayList<>();
+
+    StandInEngine() throws IOException {
+        daemon(() -> {
+            while (true) {
+                Socket socket = door.accept();
+                socket.setTcpNoDelay(true);
+                daemon(() -> converse(new Peer(socket)));
+            }
+        });
+    }
+
+    int port() {
+        return door.getLocalPort();
+    }
+
+    private void converse(Peer peer) throws IOException {
+        for (String line = peer.line(); line != null; line = peer.line()) {
+            String[] words = line.split(" ");
+            if (words[0].equals("want")) {
+                synchronized (attempts) {
+                    attempts.add(System.nanoTime());
+                }
+                peer.line();
+                peer.say(words[1] + " ok count=1 0\r\n\r\n");
+            } else if (words[0].equals("there")) {
+                peer.say(words[1] + " yes - 0\r\n\r\n");
+            }
+        }
+    }
+
+    List<Long> attempts() {
+        synchronized (attempts) {
+            return List.copyOf(attempts);
+        }
+    }
+
+    /** Work that may fail when its connection ends. */
+    interface Work {
+        void run() throws IOException;
+    }
+
+    static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The connection or the test has ended.
+            }
+        }, "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        door.close();
+    }
+}
