--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -268,6 +268,9 @@
     void leave(Call call) {
         if (!call.settled()) {
             call.left = true;
+            gateway.telemetry().log().event(now(), Topic.REQUEST, "request abandoned by its client", "id", call.ask.id(),
+                    "attempts", call.flights.size(), "after_ms",
+                    (now() - call.submission.arrivedAt) / Units.TENTHS_PER_MS);
             call.forgetAt = now();
             stopWaiting(call);
             gateway.left(call);
