Send to engines only by a list that an answer confirmed within the grace

Lines at fault: NameService's first question at a random moment of a grace after the rehearsal; Policy.open, which asked an engine's state and not since when that is known. Change: policy.DiscoveryLease works out until when the list may be used, from when questions were asked and answered; policy.SendGuard takes over the checks of Policy.open and mayBegin and gives a typed verdict; attempts wait while the list is unconfirmed, go on by the last list in an outage of the name service (four questions and two graces without an answer) for 7 s and a grace, and are refused after that. A pause of the process starts the count anew. Stage and Loopback answer the first question now, since a gateway whose name service never spoke no longer sends; the traces net-news and net-partial have other times, for questions come earlier; TurnsTest lists the new call; whatIsNotStated counts with a silent service, as before.

--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -8,6 +8,9 @@
 import java.util.Random;
 import java.util.function.Predicate;
 import tillerlink.model.*;
+import tillerlink.policy.ListState;
+import tillerlink.policy.SendGuard;
+import tillerlink.policy.SendVerdict;
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
 
@@ -79,6 +82,8 @@
     private final double[] poolThreads = new double[2];
     private boolean crowded;
     private boolean blind;
+    private ListState listState = ListState.CONFIRMED;
+    private final SendGuard guard;
     private double fleetPace = 1;
     private double usualBusy;
     private double allCores;
@@ -112,6 +117,7 @@
         place = Math.floorMod(settings.number("me", seed), gateways);
         mayCallOff = settings.flag("caps.may_cancel");
         tick = settings.number("tick", 1);
+        guard = new SendGuard(tick);
         settleTime = settings.number("guarantees.settle_after_doubt", 0) + tick;
         fallSpan = settings.number("guarantees.fall", 0);
         warmWithin = settings.number("guarantees.warm_within", 0);
@@ -209,6 +215,12 @@
         blind = on;
     }
 
+    @Override
+    public void listState(long now, ListState state, long usableUntil) {
+        listState = state;
+        guard.listUsableUntil(usableUntil);
+    }
+
     @Override
     public void listFailed(long now) {
         if (settings.text("discovery").equals("ask")) {
@@ -302,10 +314,17 @@
     }
 
     @Override
-    public boolean mayBegin(long now, Hop hop) {
-        Submission s = hop.submission;
-        return s.ending == null && !s.unattended && !hop.wantedOff && now < s.leavesAt
-                && open(now, s, hop.engine, hop);
+    public SendVerdict mayWrite(long now, Hop hop) {
+        SendVerdict verdict = guard.mayWrite(now, hop);
+        if (verdict == SendVerdict.ALLOWED && hop.number > 0 && !withinBudget(now, 0)) {
+            return SendVerdict.RETRY_BUDGET;
+        }
+        return verdict;
+    }
+
+    @Override
+    public long writeBefore(long now, Hop hop) {
+        return guard.writeBefore(now, hop);
     }
 
     private void close(Submission s, Ending ending) {
@@ -445,7 +464,7 @@
 
     /** Why a submission that waits for an engine can't be sent to any, now or later; null if it can. */
     private EndReason hindrance(long now, Submission s) {
-        if (blind) {
+        if (blind || listState == ListState.EXPIRED) {
             return EndReason.ENGINES_UNKNOWN;
         }
         if (hopeless(now, s)) {
@@ -804,32 +823,14 @@
 
     // ---- rule guards ----
 
-    /** Drains, placement and repeats: where a submission may go at all, now or once an engine is warm. */
+    /** Where a submission may go now. */
     private boolean open(long now, Submission s, Engine engine) {
-        return open(now, s, engine, null);
-    }
-
-    /** @param next the hop that is about to begin there, or null if it has yet to be placed */
-    private boolean open(long now, Submission s, Engine engine, Hop next) {
-        return engine.standing == Engine.Standing.READY && s.track.terms.allows(engine)
-                && repeatAllowed(now, s, engine, next);
+        return guard.mayPlace(now, s, engine) == SendVerdict.ALLOWED;
     }
 
-    private boolean repeatAllowed(long now, Submission s, Engine engine, Hop next) {
-        if (s.hops.isEmpty() || s.track.terms.effect() == Effect.PURE) {
-            return true;
-        }
-        for (Hop hop : s.hops) {
-            if (hop == next || !hop.mayHaveRun()) {
-                continue;
-            }
-            if (s.track.terms.effect() == Effect.EFFECTFUL
-                    || !s.track.terms.circle().joins(hop.engine, engine)
-                    || now + tick >= hop.sentAt + s.track.terms.window()) {
-                return false;
-            }
-        }
-        return true;
+    /** Where it may go now, or once the list is confirmed or the engine is warm. */
+    private boolean openLater(long now, Submission s, Engine engine) {
+        return guard.mayGoTo(now, s, engine) == SendVerdict.ALLOWED;
     }
 
     private boolean mayTurnBack(Submission s) {
@@ -840,7 +841,12 @@
     }
 
     private boolean budgetLeft(long now) {
-        return further == null || further.most(now) + 1 <= settings.amount("guarantees.extra_floor", 0)
+        return withinBudget(now, 1);
+    }
+
+    /** @param more further attempts that are about to be placed, beside those that were */
+    private boolean withinBudget(long now, int more) {
+        return further == null || further.most(now) + more <= settings.amount("guarantees.extra_floor", 0)
                 + settings.amount("guarantees.further_ratio", 0) * taken.least(now);
     }
 
@@ -924,7 +930,7 @@
 
     private boolean worthAnother(long now, Submission s) {
         return !s.unusable && s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
-                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> open(now, s, e));
+                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> openLater(now, s, e));
     }
 
     /** What is due for a submission: its end, or a look at the hop that is out. */
--- a/gateway/src/main/java/tillerlink/net/state/Carrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import tillerlink.model.Note;
 import tillerlink.model.Outcome;
+import tillerlink.policy.SendVerdict;
 import tillerlink.telemetry.Telemetry;
 
 /** How hops reach one engine and what it says of them comes back: its connections, in whatever protocol it speaks. */
@@ -21,6 +22,9 @@
         /** All of a hop that is {@link Flight#guarded} has gone out; told before anything that comes of it. */
         void written(Flight flight);
 
+        /** A hop was not written, for the guard did not allow it. */
+        void withheld(Flight flight, SendVerdict verdict);
+
         /** Something of the next turn. */
         void later(Runnable what);
 
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -11,6 +11,7 @@
 import tillerlink.net.wire.EngineAnswer;
 import tillerlink.net.wire.EngineCommand;
 import tillerlink.net.wire.EngineReader;
+import tillerlink.policy.SendVerdict;
 import tillerlink.telemetry.Counter;
 import tillerlink.telemetry.EventLog.Topic;
 
@@ -173,9 +174,13 @@
     private void start(Flight flight) {
         if (flight.pages != null) {
             turnPages(flight);
-        } else if (site.ready() && flight.mayGo()) {
+            return;
+        }
+        SendVerdict verdict = flight.mayGo();
+        if (verdict == SendVerdict.ALLOWED) {
             want(flight);
         } else {
+            gateway.withheld(flight, verdict);
             carrier.unsent(flight, Break.WITHDRAWN);
         }
     }
--- a/gateway/src/main/java/tillerlink/net/state/Flight.java
+++ b/gateway/src/main/java/tillerlink/net/state/Flight.java
@@ -1,10 +1,11 @@
 package tillerlink.net.state;
 
 import java.io.ByteArrayOutputStream;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import tillerlink.model.Hop;
 import tillerlink.net.wire.Rows;
 import tillerlink.plain.Units;
+import tillerlink.policy.SendVerdict;
 
 /** A hop on its way: the connection that bears it, and the pages of its result that have come. */
 public final class Flight {
@@ -32,13 +33,13 @@
     int mended;
     private ByteArrayOutputStream answer;
 
-    private final Predicate<Hop> begins;
+    private final Function<Hop, SendVerdict> guard;
 
-    /** @param begins whether a hop may still begin */
-    Flight(Hop hop, Call call, Predicate<Hop> begins) {
+    /** @param guard whether a hop may still begin */
+    Flight(Hop hop, Call call, Function<Hop, SendVerdict> guard) {
         this.hop = hop;
         this.call = call;
-        this.begins = begins;
+        this.guard = guard;
     }
 
     public String id() {
@@ -59,19 +60,19 @@
     }
 
     /** Asked before it is handed to a carrier; if not, it ends as one that was never sent. */
-    boolean mayBePlaced() {
+    SendVerdict mayBePlaced() {
         refused = call.guard != null && !call.guard.holds();
-        return !refused && begins.test(hop);
+        return refused ? SendVerdict.SHARED_STATE : guard.apply(hop);
     }
 
     /** Asked by whoever writes it, right before; if not, it ends as one that was never sent. */
-    public boolean mayGo() {
-        boolean goes = mayBePlaced();
-        if (goes && call.guard != null && !began) {
+    public SendVerdict mayGo() {
+        SendVerdict verdict = mayBePlaced();
+        if (verdict == SendVerdict.ALLOWED && call.guard != null && !began) {
             began = true;
             call.guard.began();
         }
-        return goes;
+        return verdict;
     }
 
     /** Whether {@link Carrier.Owner#written} is waited for. */
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -16,6 +16,8 @@
 import tillerlink.net.wire.Rows;
 import tillerlink.plain.PlainNames;
 import tillerlink.plain.Units;
+import tillerlink.policy.ListState;
+import tillerlink.policy.SendVerdict;
 import tillerlink.port.Orders;
 import tillerlink.port.Steering;
 import tillerlink.port.SteeringFactory;
@@ -59,6 +61,8 @@
     private long countAt;
     /** The module was told something and has not settled it. */
     private boolean unsettled;
+    private ListState listState = ListState.AWAITED;
+    private long listUsableUntil = -1;
     /** Hops ordered in this turn. */
     private List<Flight> ordered = new ArrayList<>();
 
@@ -166,6 +170,7 @@
             sweep();
         }
         names.sweep(now);
+        watchList();
         if (side != null) {
             side.settle(now);
         }
@@ -186,9 +191,30 @@
         driver.flush();
     }
 
+    /** Tells the module when the list may be used for longer, or no more. */
+    private void watchList() {
+        ListState state = names.lease().state(now);
+        long usableUntil = names.lease().usableUntil(now);
+        if (state != listState) {
+            telemetry.log().event(now, Topic.DISCOVERY, "trust in the engine list changed", "from", listState, "to", state,
+                    "list_age_ms", names.lease().age(now) / Units.TENTHS_PER_MS, "version", engines.index());
+        }
+        if (state != listState || usableUntil != listUsableUntil) {
+            listState = state;
+            listUsableUntil = usableUntil;
+            steering.listState(now, state, usableUntil);
+            unsettled = true;
+        }
+    }
+
+    /** Whether an answer of the name service stands for the list that is in force. */
+    public boolean listConfirmed() {
+        return names.lease().state(now) == ListState.CONFIRMED;
+    }
+
     /** When the next turn is due though nothing comes. */
     public long dueAt() {
-        long dueAt = next.isEmpty() ? Math.min(Math.min(wakeAt, sweepAt), names.dueAt()) : now;
+        long dueAt = next.isEmpty() ? Math.min(Math.min(wakeAt, sweepAt), names.dueAt(now)) : now;
         return side == null ? dueAt : Math.min(dueAt, side.dueAt());
     }
 
@@ -343,7 +369,7 @@
     /** A datagram of the name service. */
     public void told(byte[] datagram) {
         try {
-            unsettled |= discovery.listed(now, names.take(now, datagram));
+            unsettled |= discovery.listed(now, names.take(now, datagram, engines.index()));
         } catch (IllegalArgumentException e) {
             telemetry.metrics().add(Counter.DISCOVERY_UNUSABLE_ANSWERS);
             rarely("name service: " + e.getMessage());
@@ -360,7 +386,7 @@
     @Override
     public void send(Hop hop) {
         Call call = (Call) hop.submission.tag;
-        Flight flight = new Flight(hop, call, wanted -> steering.mayBegin(now, wanted));
+        Flight flight = new Flight(hop, call, wanted -> steering.mayWrite(now, wanted));
         call.flights.add(flight);
         ordered.add(flight);
         telemetry.metrics().add(Counter.ATTEMPTS_ORDERED);
@@ -379,13 +405,22 @@
         if (!flight.hop.isOut()) {
             return;
         }
-        if (flight.mayBePlaced()) {
+        SendVerdict verdict = flight.mayBePlaced();
+        if (verdict == SendVerdict.ALLOWED) {
             carrier(flight).send(flight);
         } else {
+            withheld(flight, verdict);
             next.add(() -> ended(flight, Outcome.NEVER_SENT));
         }
     }
 
+    @Override
+    public void withheld(Flight flight, SendVerdict verdict) {
+        telemetry.metrics().add(Counter.ATTEMPTS_WITHHELD, verdict);
+        telemetry.log().event(now, Topic.ATTEMPT, "attempt withheld", "id", flight.id(), "attempt", flight.hop.number,
+                "engine", engineId(flight), "reason", verdict);
+    }
+
     @Override
     public void callOff(Hop hop) {
         Flight flight = ((Call) hop.submission.tag).flights.get(hop.number);
--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -5,6 +5,7 @@
 import tillerlink.net.wire.Dns;
 import tillerlink.net.wire.EngineNews;
 import tillerlink.plain.Units;
+import tillerlink.policy.DiscoveryLease;
 import tillerlink.telemetry.Counter;
 import tillerlink.telemetry.EventLog.Topic;
 import tillerlink.telemetry.Telemetry;
@@ -22,6 +23,8 @@
     private static final int KEPT = 8;
     private static final int QUICK = 4;
     private static final double SPREAD = 0.2;
+    /** The first question is sent within this share of the period: nothing is sent to engines before its answer. */
+    private static final double FIRST_WITHIN = 0.6;
     /** So many questions in a row without an answer are worth a line in the log. */
     private static final int MANY_UNANSWERED = 3;
 
@@ -31,6 +34,7 @@
 
     private final ArrayDeque<Question> asked = new ArrayDeque<>();
     private final Telemetry telemetry;
+    private final DiscoveryLease lease;
     private final Random random;
     private final Driver driver;
     private final long period;
@@ -46,10 +50,14 @@
         this.telemetry = telemetry;
         random = new Random(seed);
         period = Math.max(1, grace);
-        nextAt = now + (long) (period * random.nextDouble());
+        lease = new DiscoveryLease(now, period);
+        nextAt = now + (long) (period * FIRST_WITHIN * random.nextDouble());
     }
 
     void sweep(long now) {
+        if (lease.observe(now)) {
+            nextAt = now;
+        }
         if (now >= nextAt) {
             long wait = Math.min(period, period / QUICK << Math.max(0, Math.min(2 * QUICK, unanswered++) - QUICK));
             if (unanswered > 1 && unanswered % 2 == 1) {
@@ -68,12 +76,19 @@
                 asked.removeFirst();
             }
             telemetry.metrics().add(Counter.DISCOVERY_QUESTIONS);
+            lease.asked(now);
             driver.ask(Dns.query(id));
         }
     }
 
-    long dueAt() {
-        return nextAt;
+    /** When the next question is due, or the trust in the list changes. */
+    long dueAt(long now) {
+        return Math.min(nextAt, lease.changesAt(now));
+    }
+
+    /** How far the list may be trusted that its answers told. */
+    DiscoveryLease lease() {
+        return lease;
     }
 
     /** It is to be asked elsewhere: at once, and nothing that was asked before counts any more. */
@@ -83,8 +98,11 @@
         nextAt = now;
     }
 
-    /** @throws IllegalArgumentException if the datagram is of no use; the message says why */
-    EngineNews take(long now, byte[] datagram) {
+    /**
+     * @param known the number of the newest event that is known: an answer with an older list confirms nothing
+     * @throws IllegalArgumentException if the datagram is of no use; the message says why
+     */
+    EngineNews take(long now, byte[] datagram, long known) {
         int id = Dns.id(datagram);
         Question question = asked.stream().filter(one -> one.id == id).findFirst().orElse(null);
         if (question == null) {
@@ -93,6 +111,11 @@
         asked.remove(question);
         EngineNews news = Dns.answer(datagram, id);
         logAnswer(now, question, news);
+        if (news.index() >= known) {
+            lease.answered(question.askedAt, now);
+        } else {
+            lease.answeredWithOlder(now);
+        }
         unanswered = 0;
         nextAt = lastAt + (long) (period * (1 - SPREAD * random.nextDouble()));
         return news;
--- a/gateway/src/main/java/tillerlink/port/Steering.java
+++ b/gateway/src/main/java/tillerlink/port/Steering.java
@@ -6,6 +6,8 @@
 import tillerlink.model.Note;
 import tillerlink.model.Outcome;
 import tillerlink.model.Submission;
+import tillerlink.policy.ListState;
+import tillerlink.policy.SendVerdict;
 
 /**
  * What happens to one gateway, told to the module in the order in which it happened. Times are tenths of a
@@ -20,6 +22,15 @@
     /** Nothing is known of any engine, or what is known is too old to trust; or that is over. */
     void blind(long now, boolean on);
 
+    /**
+     * How far the list may be trusted, told before it changes anything.
+     *
+     * @param usableUntil new attempts may be written before that moment; in the past if none may
+     */
+    default void listState(long now, ListState state, long usableUntil) {
+        // Where lists are pushed, the last one holds.
+    }
+
     /** A call to the engine list failed, or the subscription broke. */
     void listFailed(long now);
 
@@ -49,11 +60,16 @@
     }
 
     /**
-     * Asked right before a hop is written, for that may be long after it was ordered. If not, it ends as one that was
-     * never sent.
+     * Asked right before a hop is written, for that may be long after it was ordered. Unless it is allowed, it ends as
+     * one that was never sent.
      */
-    default boolean mayBegin(long now, Hop hop) {
-        return hop.submission.ending == null;
+    default SendVerdict mayWrite(long now, Hop hop) {
+        return hop.submission.ending == null ? SendVerdict.ALLOWED : SendVerdict.REQUEST_ENDED;
+    }
+
+    /** Until when the first byte of a hop may go out that may be written now; later it must not go out at all. */
+    default long writeBefore(long now, Hop hop) {
+        return hop.submission.leavesAt;
     }
 
     /** The gateway ends and can't wait for it any longer: it gets its final answer now. */
--- a/gateway/src/test/java/tillerlink/net/life/Loopback.java
+++ b/gateway/src/test/java/tillerlink/net/life/Loopback.java
@@ -28,6 +28,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import tillerlink.Lists;
 import tillerlink.Policy;
 import tillerlink.model.Engine;
 import tillerlink.net.io.MinaDriver;
@@ -44,6 +45,7 @@
 final class Loopback implements Closeable {
     static final int PATIENCE_MS = 10_000;
     private static final long TENTHS = 10;
+    private static final long CONFIRM_STEP_MS = 25;
     private static final long START = 17_000_000_000_000L;
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
 
@@ -91,6 +93,30 @@
         thread = new Thread(this::run, "turns");
         thread.setDaemon(true);
         thread.start();
+        confirmList();
+    }
+
+    /** The name service answers the first question with what is known, so that attempts may go out. */
+    private void confirmList() throws IOException {
+        names.setSoTimeout(1);
+        DatagramPacket question = null;
+        while (question == null) {
+            pass(CONFIRM_STEP_MS, CONFIRM_STEP_MS);
+            try {
+                question = question(names);
+            } catch (SocketTimeoutException e) {
+                assertTrue(now.get() < START + PATIENCE_MS * TENTHS, "no question comes");
+            }
+        }
+        names.setSoTimeout(PATIENCE_MS);
+        byte[] bytes = question.getData();
+        String[] lines = new String[engines.size()];
+        for (int i = 0; i < lines.length; i++) {
+            lines[i] = "e" + (i + 1) + " ready 127.0.0.1:" + engines.get(i).getLocalPort() + " east std 0 0";
+        }
+        byte[] list = Lists.answer((bytes[0] & 255) << 8 | bytes[1] & 255, 1, lines);
+        names.send(new DatagramPacket(list, list.length, question.getSocketAddress()));
+        await(() -> ask(Gateway::listConfirmed), "the list is not confirmed");
     }
 
     private void run() {
--- a/http2/src/main/java/tillerlink/net/http2/H2Link.java
+++ b/http2/src/main/java/tillerlink/net/http2/H2Link.java
@@ -16,6 +16,7 @@
 import tillerlink.net.state.EngineSite;
 import tillerlink.net.state.Flight;
 import tillerlink.net.state.Pipe;
+import tillerlink.policy.SendVerdict;
 
 /** One HTTP/2 connection to an engine: hops are streams on it, worded as docs/http2-wire.md says. */
 final class H2Link implements Pipe.Owner, Pool.Member {
@@ -121,7 +122,9 @@
     // ---- hops ----
 
     void send(Flight flight) {
-        if (!flight.begun() && !flight.mayGo()) {
+        SendVerdict verdict = flight.begun() ? SendVerdict.ALLOWED : flight.mayGo();
+        if (verdict != SendVerdict.ALLOWED) {
+            owner.withheld(flight, verdict);
             owner.later(() -> owner.ended(flight, StreamEnd.WITHDRAWN.outcome(false, false)));
             return;
         }
