Check each write against its time where it happens, and count what broke a rule

Cause: the guard was asked when a turn decided; a full socket, the queue to MINA's thread or a pause lies between that and the write, and nothing looked at what had really gone out. Change: an attempt is written with the moment by which its first byte must go (the list's lease, the client's time, 0.1 s); the thread that writes looks at the clock right before it, and withholds it whole if that has passed, which surely never ran (Reading.write, TimedWrite). InvariantMonitor checks by the time of the first byte, apart from the guard, ten invariants, and counts violations (tillerlink_invariant_violations_total by reason, an ERROR line each). OneWayOutTest fails when a second path to a socket or to an attempt's encoding appears. Tests: MinaDriverTest.aWriteThatIsLateIsWithheldWhole (found that MINA writes a duplicate of what it is given), InvariantMonitorTest breaks each invariant on purpose. HTTP/2 attempts are asked for the verdict and not timed.

--- a/gateway/src/main/java/tillerlink/model/Hop.java
+++ b/gateway/src/main/java/tillerlink/model/Hop.java
@@ -16,6 +16,8 @@
     public boolean sent;
     public boolean wantedOff;
     public boolean calledOff;
+    /** When its first byte went out; 0 while none has. */
+    public long writtenAt;
     /** Share done, as last noted. */
     public double share;
     /** Null while it is out. */
--- a/gateway/src/main/java/tillerlink/model/Submission.java
+++ b/gateway/src/main/java/tillerlink/model/Submission.java
@@ -30,6 +30,8 @@
     public boolean begun;
     /** Null while an answer is owed. */
     public Ending ending;
+    /** When its client was seen to have left; later than any time while it was not. */
+    public long leftAt = Long.MAX_VALUE;
     /** Why the policy gave it up; null if it did not. */
     public EndReason endReason;
     /** No engine can use it. */
--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.WriteFuture;
@@ -47,7 +48,7 @@
 
     private final Queue<HalfClosed> halfClosed = new ConcurrentLinkedQueue<>();
     private final Queue<Runnable> queue;
-    private final Reading reading = new Reading();
+    private final Reading reading;
     private final Consumer<byte[]> datagrams;
     private InetSocketAddress nameService;
     private final NioSocketAcceptor acceptor;
@@ -61,9 +62,11 @@
     private byte[] question;
     private boolean askerDialing;
 
+    /** @param clock the gateway's, in tenths of a millisecond; for any thread */
     public MinaDriver(Queue<Runnable> queue, InetSocketAddress nameService, Consumer<byte[]> datagrams,
-                      Function<Pipe, Pipe.Owner> accepted, int clientsMost) {
+                      Function<Pipe, Pipe.Owner> accepted, int clientsMost, LongSupplier clock) {
         this.queue = queue;
+        reading = new Reading(clock);
         this.nameService = nameService;
         this.datagrams = datagrams;
         acceptor = new Bounded(reading, clientsMost + Math.max(NEWCOMERS_LEAST, clientsMost / NEWCOMERS_SHARE));
@@ -207,6 +210,11 @@
             pending.add(() -> last = session.write(IoBuffer.wrap(bytes)));
         }
 
+        @Override
+        public void writeBefore(byte[] bytes, long before) {
+            pending.add(() -> last = session.write(new TimedWrite(bytes, before)));
+        }
+
         @Override
         public void close() {
             pending.add(() -> end(false));
@@ -300,7 +308,13 @@
         @Override
         public void messageSent(IoSession session, Object message) {
             MinaPipe pipe = pipe(session);
-            queue.add(() -> pipe.owner.written());
+            if (!(message instanceof TimedWrite timed)) {
+                queue.add(() -> pipe.owner.written());
+            } else if (timed.withheld()) {
+                queue.add(() -> pipe.owner.withheld());
+            } else {
+                queue.add(() -> pipe.owner.written(timed.firstByteAt()));
+            }
         }
 
         @Override
--- a/gateway/src/main/java/tillerlink/net/io/Reading.java
+++ b/gateway/src/main/java/tillerlink/net/io/Reading.java
@@ -8,8 +8,11 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
+import java.util.function.LongSupplier;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
 
 /** MINA's thread for reading and writing; what changes whether a connection is read must run on it. */
 final class Reading extends NioProcessor {
@@ -18,13 +21,34 @@
     /** To be called once what is readable now has been read. */
     private List<Runnable> reading = List.of();
     private volatile Thread thread;
+    private final LongSupplier clock;
 
-    Reading() {
+    /** @param clock the gateway's, in tenths of a millisecond; for any thread */
+    Reading(LongSupplier clock) {
         super(Executors.newCachedThreadPool(work -> {
             Thread thread = new Thread(work, "reading");
             thread.setDaemon(true);
             return thread;
         }));
+        this.clock = clock;
+    }
+
+    /** The one place where bytes are handed to the system for a connection. */
+    @Override
+    protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
+        if (!(buffer instanceof TimedWrite timed) || timed.begun()) {
+            return super.write(session, buffer, length);
+        }
+        if (!timed.isDue(clock.getAsLong())) {
+            int all = timed.remaining();
+            timed.withhold();
+            return all;
+        }
+        int written = super.write(session, buffer, length);
+        if (written > 0) {
+            timed.began(clock.getAsLong());
+        }
+        return written;
     }
 
     void run(Runnable task) {
--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -68,7 +68,7 @@
             LOG.warn("the rehearsal broke off; the gateway starts without", e);
         }
         driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
-                (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost());
+                (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost(), clock::now);
         gateway = new Gateway(assignment, modules, driver, clock.now(), carriers, recalls.apply(assignment));
         Side side = beside == null ? null : beside.start(assignment, gateway.door(), turns.queue::add, clock::now);
         gateway.beside(side);
--- a/gateway/src/main/java/tillerlink/net/state/Carrier.java
+++ b/gateway/src/main/java/tillerlink/net/state/Carrier.java
@@ -22,6 +22,17 @@
         /** All of a hop that is {@link Flight#guarded} has gone out; told before anything that comes of it. */
         void written(Flight flight);
 
+        /** A hop is written in this turn; until when its first byte may go out. */
+        long writeBefore(Flight flight);
+
+        /**
+         * A hop has gone out.
+         *
+         * @param before what {@link #writeBefore} said
+         * @param limit  how long its engine was told that the client waits
+         */
+        void wentOut(Flight flight, long firstByteAt, long before, long limit);
+
         /** A hop was not written, for the guard did not allow it. */
         void withheld(Flight flight, SendVerdict verdict);
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -268,6 +268,7 @@
     void leave(Call call) {
         if (!call.settled()) {
             call.left = true;
+            call.submission.leftAt = now();
             gateway.telemetry().log().event(now(), Topic.REQUEST, "request abandoned by its client", "id", call.ask.id(),
                     "attempts", call.flights.size(), "after_ms",
                     (now() - call.submission.arrivedAt) / Units.TENTHS_PER_MS);
@@ -307,6 +308,7 @@
             return;
         }
         call.answer = answer;
+        gateway.answered(call);
         held(answer.body().length);
         if (call.waiting != null) {
             handOut(call, call.waiting);
--- a/gateway/src/main/java/tillerlink/net/state/Discovery.java
+++ b/gateway/src/main/java/tillerlink/net/state/Discovery.java
@@ -5,6 +5,7 @@
 import org.slf4j.LoggerFactory;
 import tillerlink.model.Listed;
 import tillerlink.net.wire.EngineNews;
+import tillerlink.policy.InvariantMonitor;
 import tillerlink.port.Steering;
 import tillerlink.telemetry.EventLog.Topic;
 import tillerlink.telemetry.Telemetry;
@@ -15,13 +16,16 @@
 
     private final EngineList engines;
     private final Steering steering;
+    private final InvariantMonitor invariants;
     private final Recall recall;
     private final Telemetry telemetry;
     /** No list was told since the start. */
     private boolean blind;
 
     /** @param recall what is remembered across restarts; null: nothing */
-    Discovery(EngineList engines, Steering steering, Recall recall, Telemetry telemetry) {
+    Discovery(EngineList engines, Steering steering, InvariantMonitor invariants, Recall recall,
+              Telemetry telemetry) {
+        this.invariants = invariants;
         this.engines = engines;
         this.steering = steering;
         this.recall = recall;
@@ -45,6 +49,7 @@
         if (entries != null) {
             telemetry.log().event(now, Topic.DISCOVERY, "engine list taken in", "version", news.index(), "engines",
                     entries.size(), "whole", news.whole(), "newer", newer);
+            invariants.listed(now, news.whole(), entries);
             steering.listed(now, news.whole(), entries);
         }
         if (blind && newer) {
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -11,6 +11,7 @@
 import tillerlink.net.wire.EngineAnswer;
 import tillerlink.net.wire.EngineCommand;
 import tillerlink.net.wire.EngineReader;
+import tillerlink.plain.Units;
 import tillerlink.policy.SendVerdict;
 import tillerlink.telemetry.Counter;
 import tillerlink.telemetry.EventLog.Topic;
@@ -30,8 +31,18 @@
     private final EngineReader reader = new EngineReader();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
     private final Set<String> ended = new LinkedHashSet<>();
-    /** Guarded hops that are on their way out, in that order. */
-    private final ArrayDeque<Flight> guarded = new ArrayDeque<>(0);
+    /**
+     * A hop on its way out.
+     *
+     * @param place  its place among the writes here
+     * @param before when its first byte is to be out by
+     * @param limit  how long the engine is told that the client waits
+     */
+    private record GoingOut(Flight flight, long place, long before, long limit) {
+    }
+
+    /** Hops that are on their way out, in that order. */
+    private final ArrayDeque<GoingOut> goingOut = new ArrayDeque<>(1);
     private Pipe pipe;
     private boolean open;
     private boolean over;
@@ -192,12 +203,12 @@
     }
 
     private void want(Flight flight) {
-        gateway.telemetry().metrics().add(Counter.ATTEMPTS_WRITTEN);
-        flight.place = write(EngineCommand.want(flight.id(), flight.track(), flight.millisLeft(gateway.now()),
-                flight.key(), flight.statement()));
-        if (flight.guarded()) {
-            guarded.add(flight);
-        }
+        long millisLeft = flight.millisLeft(gateway.now());
+        long before = gateway.writeBefore(flight);
+        pipe.writeBefore(EngineCommand.want(flight.id(), flight.track(), millisLeft, flight.key(), flight.statement()),
+                before);
+        flight.place = ++writes;
+        goingOut.add(new GoingOut(flight, writes, before, millisLeft * Units.TENTHS_PER_MS));
     }
 
     private long write(byte[] bytes) {
@@ -241,12 +252,38 @@
 
     @Override
     public void written() {
-        writesDone++;
-        while (!guarded.isEmpty() && guarded.peek().place <= writesDone) {
-            gateway.written(guarded.poll());
+        written(gateway.now());
+    }
+
+    @Override
+    public void written(long firstByteAt) {
+        GoingOut out = nextWriteDone();
+        if (out != null) {
+            gateway.wentOut(out.flight, firstByteAt, out.before, out.limit);
+            if (out.flight.guarded()) {
+                gateway.written(out.flight);
+            }
+        }
+    }
+
+    /** Nothing of the hop has gone out, though it was handed over: it surely never ran. */
+    @Override
+    public void withheld() {
+        GoingOut out = nextWriteDone();
+        out.flight.place = Flight.UNSENT;
+        gateway.withheld(out.flight, SendVerdict.WRITE_DELAYED);
+        if (out.flight.hop.isOut()) {
+            gateway.ended(out.flight, Break.WITHDRAWN.outcome(false));
         }
     }
 
+    /** Counts a write that is done; the hop that it was, or null. */
+    private GoingOut nextWriteDone() {
+        writesDone++;
+        boolean hop = !goingOut.isEmpty() && goingOut.peek().place <= writesDone;
+        return hop ? goingOut.poll() : null;
+    }
+
     @Override
     public void fed(byte[] bytes) {
         if (over) {
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tillerlink.model.Hop;
@@ -16,6 +17,8 @@
 import tillerlink.net.wire.Rows;
 import tillerlink.plain.PlainNames;
 import tillerlink.plain.Units;
+import tillerlink.policy.Invariant;
+import tillerlink.policy.InvariantMonitor;
 import tillerlink.policy.ListState;
 import tillerlink.policy.SendVerdict;
 import tillerlink.port.Orders;
@@ -45,6 +48,7 @@
     /** What stands beside the module, or null. */
     private Side side;
     private final Steering steering;
+    private final InvariantMonitor invariants;
     private final Telemetry telemetry;
     private final Rarely rarely = new Rarely();
     private final ArrayDeque<Runnable> next = new ArrayDeque<>();
@@ -109,8 +113,9 @@
         long grace = stated(terms, "guarantees.drain_grace", soon);
         holdMost = Math.min(grace, connectMost) / 2;
         names = new NameService(driver, assignment.seed(), now, grace, telemetry);
+        invariants = new InvariantMonitor(terms);
         steering = factory.start(now, assignment.seed(), plain, this);
-        discovery = new Discovery(engines, steering, recall, telemetry);
+        discovery = new Discovery(engines, steering, invariants, recall, telemetry);
         discovery.start(now, assignment.known());
         unsettled = true;
         telemetry.metrics().gauge("engine_list_version", "Number of the last event of the engine list.", engines::index);
@@ -241,6 +246,7 @@
 
     void arrived(Call call) {
         telemetry.metrics().add(Counter.REQUESTS_TAKEN);
+        invariants.taken(now);
         steering.arrived(now, call.submission);
         unsettled = true;
     }
@@ -414,6 +420,31 @@
         }
     }
 
+    @Override
+    public long writeBefore(Flight flight) {
+        return steering.writeBefore(now, flight.hop);
+    }
+
+    @Override
+    public void wentOut(Flight flight, long firstByteAt, long before, long limit) {
+        telemetry.metrics().add(Counter.ATTEMPTS_WRITTEN);
+        report(invariants.written(new InvariantMonitor.Written(flight.hop, firstByteAt, before, limit)), flight.call,
+                engineId(flight));
+    }
+
+    /** An answer is ready that a client is owed. */
+    void answered(Call call) {
+        report(invariants.answered(now, call.submission), call, "none");
+    }
+
+    private void report(Set<Invariant> broken, Call call, String engine) {
+        for (Invariant invariant : broken) {
+            telemetry.metrics().add(Counter.INVARIANT_VIOLATIONS, invariant);
+            telemetry.log().event(now, Topic.INVARIANT, "invariant violated", "invariant", invariant, "id", call.ask.id(),
+                    "engine", engine, "attempts", call.flights.size(), "list", listState, "version", engines.index());
+        }
+    }
+
     @Override
     public void withheld(Flight flight, SendVerdict verdict) {
         telemetry.metrics().add(Counter.ATTEMPTS_WITHHELD, verdict);
--- a/gateway/src/main/java/tillerlink/net/state/Pipe.java
+++ b/gateway/src/main/java/tillerlink/net/state/Pipe.java
@@ -4,6 +4,14 @@
 public interface Pipe {
     void write(byte[] bytes);
 
+    /**
+     * The same, but none of it goes out if its first byte can't before that moment; then the owner hears
+     * {@link Owner#withheld} in place of {@link Owner#written}.
+     */
+    default void writeBefore(byte[] bytes, long before) {
+        write(bytes);
+    }
+
     /**
      * Nothing more is written: once all that was has gone out, the peer is told so. What it still says is told until
      * it ends the connection as well, or a second has passed.
@@ -25,6 +33,16 @@
         /** The oldest write that was not yet told of has gone out whole. */
         void written();
 
+        /** The same, told with the time at which its first byte went out; of what was written with a bound. */
+        default void written(long firstByteAt) {
+            written();
+        }
+
+        /** The oldest write that was not yet told of was late, and nothing of it has gone out. */
+        default void withheld() {
+            written();
+        }
+
         /** Told once; nothing follows. */
         void ended(Break how);
     }
--- a/gateway/src/test/java/tillerlink/net/life/Loopback.java
+++ b/gateway/src/test/java/tillerlink/net/life/Loopback.java
@@ -87,7 +87,7 @@
         Assignment assignment = new Assignment("n0", listen, (InetSocketAddress) names.getLocalSocketAddress(), 7, 1024,
                 terms, List.of(new EngineNews(1, true, known)));
         driver = new MinaDriver(gate, assignment.resolver(), bytes -> gateway.told(bytes), pipe -> gateway.accepted(pipe),
-                assignment.clientsMost());
+                assignment.clientsMost(), now::get);
         gateway = new Gateway(assignment, Policy::new, driver, now.get());
         driver.listen(listen);
         thread = new Thread(this::run, "turns");
