--- a/gateway/src/test/java/tillerlink/net/life/EndingsTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/EndingsTest.java
@@ -126,9 +126,9 @@
         client.endedAndRead();
     }
 
-    /** Guards what a client says in the instant in which its idle connection ends. */
+    /** Guards a call that has come, and was not yet read, when its connection has rested too long: it is served. */
     @Test
-    void anIdleCloseMeetsACall() throws Exception {
+    void aCallThatIsUnreadWhenItsIdleConnectionEnds() throws Exception {
         loopback = new Loopback(1);
         Peer client = loopback.client();
         client.say("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -138,7 +138,21 @@
         client.post(ONE, "look", 4500);
         loopback.pass(5125, 125);
         loopback.tellAll();
+        client.heard("{\"continue\":\"/v1/calls/" + ONE + "\"}");
+    }
+
+    /** Guards what a client says right after its idle connection was ended: a close that it can tell, and nothing is sent on. */
+    @Test
+    void anIdleCloseMeetsACall() throws Exception {
+        loopback = new Loopback(1);
+        Peer client = loopback.client();
+        client.say("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.heard("{}");
+        loopback.turn();
+        loopback.pass(5125, 125);
+        client.post(ONE, "look", 4500);
         client.ended();
+        loopback.turn();
         loopback.nobodyElse(0);
     }
 
