Read what has come before a connection is ended; ask for the list during the rehearsal

Change: an end for silence, and that of a resting connection at shutdown, is decided once all that can be read has been read (Driver.afterReading) and only if it still holds; the real gateway takes its turns between the rounds of the rehearsal, so the list is confirmed, or an outage known, by the time it listens.

--- a/gateway/src/main/java/tillerlink/net/life/Node.java
+++ b/gateway/src/main/java/tillerlink/net/life/Node.java
@@ -62,14 +62,15 @@
         Assignment assignment = told.without(inUse);
         LOG.info("{} starts with {} engines known, {} descriptors, {} of them kept", assignment.name(),
                 assignment.known().stream().mapToInt(news -> news.entries().size()).sum(), told.sockets(), inUse);
+        driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
+                (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost(), clock::now);
+        gateway = new Gateway(assignment, modules, driver, clock.now(), carriers, recalls.apply(assignment));
+        // The name service is asked meanwhile, so that the list is confirmed by the time that clients come.
         try {
-            new Rehearsal(assignment, modules, clock.now()).play();
+            new Rehearsal(assignment, modules, clock.now()).play(() -> turns.takeDue(gateway));
         } catch (RuntimeException e) {
             LOG.warn("the rehearsal broke off; the gateway starts without", e);
         }
-        driver = new MinaDriver(turns.queue, assignment.resolver(), bytes -> gateway.told(bytes),
-                (Pipe pipe) -> gateway.accepted(pipe), assignment.clientsMost(), clock::now);
-        gateway = new Gateway(assignment, modules, driver, clock.now(), carriers, recalls.apply(assignment));
         Side side = beside == null ? null : beside.start(assignment, gateway.door(), turns.queue::add, clock::now);
         gateway.beside(side);
         if (!heard) {
--- a/gateway/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/gateway/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -36,7 +36,8 @@
         gateway = new Gateway(assignment, modules, this, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, null, null, Telemetry.silent());
     }
 
-    void play() {
+    /** @param between called between two rounds, for what can't wait until it is over */
+    void play(Runnable between) {
         List<String> tracks = assignment.tracks();
         if (tracks.isEmpty()) {
             return;
@@ -50,6 +51,7 @@
                     + "\r\nContent-Length: " + STATEMENT.length() + "\r\n\r\n" + STATEMENT);
             say("GET /v1/calls/" + id + " HTTP/1.1\r\nHost: app\r\n\r\n");
             now += STEP;
+            between.run();
         }
     }
 
--- a/gateway/src/main/java/tillerlink/net/life/Turns.java
+++ b/gateway/src/main/java/tillerlink/net/life/Turns.java
@@ -34,13 +34,25 @@
             if (first == null && clock.getAsLong() > dueAt + STOOD_STILL) {
                 first = await(CATCH_UP);
             }
-            guarded(() -> gateway.begin(clock.getAsLong()));
-            int events = 0;
-            for (Runnable event = first; event != null; event = ++events < EVENTS_MOST ? queue.poll() : null) {
-                guarded(event);
-            }
-            guarded(gateway::settle);
+            turn(gateway, first);
+        }
+    }
+
+    /** Takes a turn if something came or is due, and waits for nothing. */
+    void takeDue(Gateway gateway) {
+        Runnable first = queue.poll();
+        if (first != null || clock.getAsLong() >= gateway.dueAt()) {
+            turn(gateway, first);
+        }
+    }
+
+    private void turn(Gateway gateway, Runnable first) {
+        guarded(() -> gateway.begin(clock.getAsLong()));
+        int events = 0;
+        for (Runnable event = first; event != null; event = ++events < EVENTS_MOST ? queue.poll() : null) {
+            guarded(event);
         }
+        guarded(gateway::settle);
     }
 
     private Runnable await(long tenths) throws InterruptedException {
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -143,6 +143,11 @@
         return gateway.now();
     }
 
+    /** Calls back once all that could be read of any connection has been told. */
+    void afterReading(Runnable then) {
+        gateway.afterReading(then);
+    }
+
     // ---- calls ----
 
     void called(ClientLink client, HttpItem item) {
--- a/gateway/src/main/java/tillerlink/net/state/ClientLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientLink.java
@@ -37,6 +37,8 @@
     private boolean lastCall;
     private boolean held;
     private boolean over;
+    /** It is to end unless something turns out to have come. */
+    private boolean endPending;
     /** Why it was ended from here; null while it was not. */
     private ClientEnd ourEnd;
     /** A whole call has come. */
@@ -249,22 +251,62 @@
                 drop(ClientEnd.STALLED);
             }
         } else if (!inHand && reader.midway() && now >= callSince + CALL_MOST) {
-            refuse(HttpAnswer.problem(408, "Timeout", 0));
-        } else if (!inHand && now >= quietSince + (spoken ? IDLE_MOST : CALL_MOST)) {
-            end(ClientEnd.IDLE);
+            afterReading(this::refuseHalf);
+        } else if (idle()) {
+            afterReading(this::endIdle);
         } else if (door.closing()) {
             endResting();
         }
     }
 
+    /**
+     * Guards what has come and was not read yet, for instance while this process stood still: a connection is ended for
+     * its client's silence only once all that can be read of it has been read.
+     */
+    private void afterReading(Runnable end) {
+        if (!endPending) {
+            endPending = true;
+            door.afterReading(() -> {
+                endPending = false;
+                if (!over) {
+                    end.run();
+                }
+            });
+        }
+    }
+
+    private boolean idle() {
+        return !inHand && !reader.midway() && door.now() >= quietSince + (spoken ? IDLE_MOST : CALL_MOST);
+    }
+
+    private void endIdle() {
+        if (idle()) {
+            end(ClientEnd.IDLE);
+        }
+    }
+
+    private void refuseHalf() {
+        if (!inHand && reader.midway()) {
+            refuse(HttpAnswer.problem(408, "Timeout", 0));
+        }
+    }
+
     /** Ends it if no call is open on it, none has begun to come and its client is not about to make one. */
     private void endResting() {
-        boolean fetches = handedIn != null && !handedIn.left && !handedIn.handedOut;
-        if (!over && !inHand && !reader.midway() && !fetches) {
-            end(ClientEnd.SHUTDOWN);
+        if (resting()) {
+            afterReading(() -> {
+                if (resting()) {
+                    end(ClientEnd.SHUTDOWN);
+                }
+            });
         }
     }
 
+    private boolean resting() {
+        boolean fetches = handedIn != null && !handedIn.left && !handedIn.handedOut;
+        return !over && !inHand && !reader.midway() && !fetches;
+    }
+
     /** The door takes nothing more: what waits is the last call, and one that rests ends. */
     void closing() {
         lastCall |= inHand;
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -234,6 +234,11 @@
 
     // ---- clients ----
 
+    /** Calls back, in this turn or a later one, once all that can be read by now was told. */
+    void afterReading(Runnable then) {
+        driver.afterReading(then);
+    }
+
     /** A client has connected. */
     public Pipe.Owner accepted(Pipe pipe) {
         return clients.accepted(pipe);
--- a/gateway/src/test/java/tillerlink/net/life/StaleListTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/StaleListTest.java
@@ -33,6 +33,8 @@
     private static final long SLACK_MS = 50;
     private static final long TOLD_MS = 1500;
     private static final long PAST_THE_GRACE_MS = TOLD_MS + GRACE_MS + 300;
+    /** How long a client may take for its first call. */
+    private static final long FIRST_CALL_MS = 2500;
     private static final InetAddress HERE = InetAddress.getLoopbackAddress();
 
     @TempDir
@@ -97,6 +99,25 @@
         judge(50);
     }
 
+    /** Clients that had only connected hand their requests in while the process stands still. */
+    @Test
+    void whatCameDuringAPauseIsReadBeforeAnyConnectionIsClosed() throws Exception {
+        start();
+        awaitListening();
+        burst(10);
+        List<Peer> waiting = clients(40);
+        awaitAccepted();
+        signal("STOP");
+        for (Peer client : waiting) {
+            post(client);
+        }
+        Thread.sleep(FIRST_CALL_MS + 200);
+        signal("CONT");
+        for (Peer client : waiting) {
+            fetch(client);
+        }
+    }
+
     /** Several answers in a row that tell of the drain are lost on their way. */
     @Test
     void answersLostInARow() throws Exception {
@@ -157,6 +178,14 @@
         StandInEngine.daemon(() -> process.getErrorStream().transferTo(System.out));
     }
 
+    /** Until all connections are taken in: a call on a further one is answered, and they came before it. */
+    private void awaitAccepted() throws IOException {
+        Peer last = clients(1).get(0);
+        last.say("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        last.heard("{}");
+        last.close();
+    }
+
     private void signal(String name) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
     }
--- a/gateway/src/test/java/tillerlink/net/life/TurnsTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/TurnsTest.java
@@ -103,7 +103,7 @@
                         happened.add(method.getName().equals("ended") ? values[2].toString() : method.getName());
                         return method.invoke(module, values);
                     });
-        }, START).play();
+        }, START).play(() -> { });
         assertTrue(happened.stream().filter("FULFILLED"::equals).count() > 20, happened::toString);
     }
 
