Soak 10 to 40 gateway processes under overlapping faults, judged from outside (make soak)

Change: tillerlink.storm.soak on the rig of storms: ControlledProcess (out of GatewayProcess) and Cutter serve both. 24 kinds of fault on processes, the name service, ways, clients and engines; eleven rules by what clients, engines and the name service saw, and the counters of the gateways' own monitors must agree. The lease needs six unanswered questions to call it an outage now, four before: with a fifth lost each way, four in a row are 2 in 100.

--- a/gateway/src/main/java/tillerlink/policy/DiscoveryLease.java
+++ b/gateway/src/main/java/tillerlink/policy/DiscoveryLease.java
@@ -27,7 +27,7 @@
     /** Share of the grace that is used; the rest pays for turns, writes and the way to the engine. */
     private static final double GRACE_USED = 0.8;
     /** So many unanswered questions in a row, over so many graces, are an outage and no chance losses. */
-    private static final int OUTAGE_QUESTIONS = 4;
+    private static final int OUTAGE_QUESTIONS = 6;
     private static final int OUTAGE_GRACES = 2;
     private static final int OUTSTANDING_KEPT = 64;
     /** A gap between two turns below this is none, however short the grace. */
--- a/storm/src/main/java/tillerlink/storm/process/GatewayProcess.java
+++ b/storm/src/main/java/tillerlink/storm/process/GatewayProcess.java
@@ -6,27 +6,24 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /** One gateway as a process of its own, which can be stopped, killed, started again, and robbed of its disk. */
 public final class GatewayProcess {
     /** With this a process ends in which an invariant did not hold. */
     private static final int BROKEN = 70;
-    private static final long END_S = 10;
     private static final List<String> ILL = List.of("INVARIANT", "invariant broken", "Exception in thread");
 
     private final Plan plan;
     private final Papers papers;
     private final String classPath;
-    private Process process;
-    private boolean stopped;
-    private final List<String> broken = new ArrayList<>();
+    private final ControlledProcess process;
 
     /** @param classPath of the program */
     public GatewayProcess(Plan plan, String classPath) {
         this.plan = plan;
         this.classPath = classPath;
+        process = new ControlledProcess(plan.name());
         papers = new Papers(plan);
     }
 
@@ -50,75 +47,41 @@
         builder.environment().put("EDGE_CONFIG", papers.configuration().toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
-        stopped = false;
-        process = Own.add(builder.start());
+        process.start(builder);
+    }
+
+    /** The process, to be signalled and ended. */
+    public ControlledProcess process() {
+        return process;
     }
 
     public boolean isAlive() {
-        return process != null && process.isAlive();
+        return process.isAlive();
     }
 
     /** Whether it is there and not stopped. */
-    public synchronized boolean isRunning() {
-        return isAlive() && !stopped;
+    public boolean isRunning() {
+        return process.isRunning();
     }
 
     /** SIGSTOP: from now on it does nothing. */
-    public synchronized void stop() throws IOException {
-        signal("STOP");
-        stopped = true;
+    public void stop() throws IOException {
+        process.stop();
     }
 
     /** SIGCONT. */
-    public synchronized void goOn() throws IOException {
-        signal("CONT");
-        stopped = false;
-    }
-
-    private void signal(String name) throws IOException {
-        if (!isAlive()) {
-            throw new IOException(plan.name() + " is not there");
-        }
-        try {
-            Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
-            if (kill.waitFor() != 0 && process.isAlive()) {
-                throw new IOException("no SIG" + name + " to " + plan.name());
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    public void goOn() throws IOException {
+        process.goOn();
     }
 
     /** SIGKILL, and its end; a stopped one ends as well. */
-    public synchronized void kill() {
-        if (isAlive()) {
-            process.destroyForcibly();
-            awaitEnd();
-        }
+    public void kill() {
+        process.kill();
     }
 
     /** SIGTERM, and its end: it says that it leaves. */
-    public synchronized void leave() throws IOException {
-        if (isAlive()) {
-            if (stopped) {
-                goOn();
-            }
-            process.destroy();
-            if (!awaitEnd()) {
-                process.destroyForcibly();
-                awaitEnd();
-                broken.add(plan.name() + " did not end on SIGTERM within " + END_S + " s");
-            }
-        }
-    }
-
-    private boolean awaitEnd() {
-        try {
-            return process.waitFor(END_S, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+    public void leave() throws IOException {
+        process.terminate();
     }
 
     /** Its disk is lost; it must not be there. */
@@ -175,8 +138,8 @@
 
     /** What went wrong inside it, as its log and its end tell; empty if nothing did. */
     public synchronized List<String> violations() throws IOException {
-        List<String> found = new ArrayList<>(broken);
-        if (process != null && !process.isAlive() && process.exitValue() == BROKEN) {
+        List<String> found = new ArrayList<>(process.complaints());
+        if (process.exitValue() == BROKEN) {
             found.add(plan.name() + " ended with " + BROKEN);
         }
         if (Files.exists(log())) {
