--- a/gateway/src/test/java/tillerlink/net/life/StaleListTest.java
+++ b/gateway/src/test/java/tillerlink/net/life/StaleListTest.java
@@ -32,6 +32,9 @@
     /** How much later than the grace a send on sockets may be. */
     private static final long SLACK_MS = 50;
     private static final long TOLD_MS = 1500;
+    private static final int DEADLINE_MS = 8000;
+    /** How much more than the client has left an engine may be told. */
+    private static final long LIMIT_SLACK_MS = 150;
     private static final long PAST_THE_GRACE_MS = TOLD_MS + GRACE_MS + 300;
     /** How long a client may take for its first call. */
     private static final long FIRST_CALL_MS = 2500;
@@ -118,6 +121,33 @@
         }
     }
 
+    /** What engines are told of the time that clients have left counts from when these wrote, not from when it was read. */
+    @Test
+    void theLimitAfterAPause() throws Exception {
+        start();
+        awaitListening();
+        burst(10);
+        List<Peer> waiting = clients(20);
+        awaitAccepted();
+        signal("STOP");
+        long posted = System.nanoTime();
+        for (Peer client : waiting) {
+            post(client);
+        }
+        Thread.sleep(2000);
+        signal("CONT");
+        for (Peer client : waiting) {
+            fetch(client);
+        }
+        List<StandInEngine.Attempt> attempts = new ArrayList<>(draining.attempts());
+        attempts.addAll(staying.attempts());
+        attempts.removeIf(attempt -> attempt.at() < posted);
+        assertEquals(20, attempts.size());
+        long most = attempts.stream().mapToLong(attempt -> attempt.limitMs() + TimeUnit.NANOSECONDS.toMillis(attempt.at() - posted))
+                .max().orElseThrow();
+        assertTrue(most <= DEADLINE_MS + LIMIT_SLACK_MS, "told " + (most - DEADLINE_MS) + " ms more than the client has left");
+    }
+
     /** Several answers in a row that tell of the drain are lost on their way. */
     @Test
     void answersLostInARow() throws Exception {
@@ -137,7 +167,7 @@
     /** No attempt came to the engine that drains later than the rule allows, and all that was asked for was served. */
     private void judge(int asked) {
         long until = names.toldAt(DRAINS) + TimeUnit.MILLISECONDS.toNanos(GRACE_MS + SLACK_MS);
-        List<Long> late = draining.attempts().stream().filter(at -> at > until).toList();
+        List<Long> late = draining.attempts().stream().map(StandInEngine.Attempt::at).filter(at -> at > until).toList();
         assertEquals(0, late.size(), () -> "attempts after the grace, the first "
                 + TimeUnit.NANOSECONDS.toMillis(late.get(0) - names.toldAt(DRAINS)) + " ms after the drain was told");
         assertTrue(draining.attempts().size() + staying.attempts().size() >= asked, "not all that was asked for was sent");
@@ -213,7 +243,7 @@
     }
 
     private void post(Peer client) throws IOException {
-        client.post(String.format("%016x", ++ids), "look", 8000);
+        client.post(String.format("%016x", ++ids), "look", DEADLINE_MS);
     }
 
     private static void fetch(Peer client) throws IOException {
--- a/gateway/src/test/java/tillerlink/net/life/StandInEngine.java
+++ b/gateway/src/test/java/tillerlink/net/life/StandInEngine.java
@@ -12,8 +12,16 @@
 /** An engine that answers each attempt at once with no rows, and notes when attempts came. */
 final class StandInEngine implements Closeable {
     private final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    /** When the first bytes of attempts were read, in nanoseconds. */
-    private final List<Long> attempts = new ArrayList<>();
+    /**
+     * An attempt that came.
+     *
+     * @param at      when its first line was read, in nanoseconds
+     * @param limitMs how long it said that the client waits
+     */
+    record Attempt(long at, long limitMs) {
+    }
+
+    private final List<Attempt> attempts = new ArrayList<>();
 
     StandInEngine() throws IOException {
         daemon(() -> {
@@ -34,7 +42,8 @@
             String[] words = line.split(" ");
             if (words[0].equals("want")) {
                 synchronized (attempts) {
-                    attempts.add(System.nanoTime());
+                    long limit = Long.parseLong(words[2].replaceAll(".*limit=([0-9]+).*", "$1"));
+                    attempts.add(new Attempt(System.nanoTime(), limit));
                 }
                 peer.line();
                 peer.say(words[1] + " ok count=1 0\r\n\r\n");
@@ -44,7 +53,7 @@
         }
     }
 
-    List<Long> attempts() {
+    List<Attempt> attempts() {
         synchronized (attempts) {
             return List.copyOf(attempts);
         }
