Count a client's time from when its request may have come, and bound engines' starts

Cause: Call took the turn's time for the request's, though after a pause of this process it may have come at any moment of it (lines: ClientDoor.submit, Call); EngineList took the start of a process from clocks that may have been stepped. Change: a turn that comes over 0.1 s late tells a pause; what is read in it and 50 ms after counts as come when it began. Price: a request that comes within 50 ms after a pause loses the pause's length of its time.

--- a/gateway/src/main/java/tillerlink/net/state/Call.java
+++ b/gateway/src/main/java/tillerlink/net/state/Call.java
@@ -22,11 +22,14 @@
     boolean left;
     long forgetAt;
 
-    /** @param line those about the same, of tracks that keep their order; or null */
-    Call(Ask ask, int trackIndex, long now, KeyLine line) {
+    /**
+     * @param arrivedAt when it may have come at the earliest: its client's time counts from then
+     * @param line      those about the same, of tracks that keep their order; or null
+     */
+    Call(Ask ask, int trackIndex, long arrivedAt, KeyLine line) {
         this.ask = ask;
-        submission = new Submission(this, trackIndex, ask.tableGroup(), ask.repeat(), now, now + ask.patience(),
-                ask.estimate(), ask.memory(), line);
+        submission = new Submission(this, trackIndex, ask.tableGroup(), ask.repeat(), arrivedAt,
+                arrivedAt + ask.patience(), ask.estimate(), ask.memory(), line);
         forgetAt = submission.leavesAt;
     }
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -236,7 +236,7 @@
         } else {
             KeyLine line = ask.subject() == null || !ordered.contains(track) ? null
                     : lines.computeIfAbsent(ask.subject(), about -> new KeyLine());
-            Call call = new Call(ask, track, now(), line);
+            Call call = new Call(ask, track, gateway.earliestArrival(), line);
             call.guard = guard;
             calls.put(ask.id(), call);
             held(ask.statement().length);
--- a/gateway/src/main/java/tillerlink/net/state/Discovery.java
+++ b/gateway/src/main/java/tillerlink/net/state/Discovery.java
@@ -35,6 +35,7 @@
     /** What was known at the start. */
     void start(long now, List<EngineNews> known) {
         known.forEach(news -> listed(now, news));
+        engines.listedLongAgo();
         if (recall != null && known.stream().allMatch(news -> news.entries().isEmpty())) {
             startBlind(now);
         }
--- a/gateway/src/main/java/tillerlink/net/state/EngineList.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineList.java
@@ -10,7 +10,6 @@
 import tillerlink.model.Named;
 import tillerlink.net.wire.EngineEntry;
 import tillerlink.net.wire.EngineNews;
-import tillerlink.plain.Units;
 import tillerlink.telemetry.EventLog.Topic;
 import tillerlink.telemetry.Telemetry;
 
@@ -22,6 +21,8 @@
     private long index;
     /** The newest news that were not whole. */
     private long partialIndex;
+    /** When a whole list was told last: what is new in a later one was not there then; never, at first. */
+    private long listedAt = Long.MIN_VALUE;
 
     private final Telemetry telemetry;
     private final Carrier.Owner owner;
@@ -82,13 +83,16 @@
                 site.carrier = carriers.of(owner, site, entry.kind());
                 sites.put(entry.id(), site);
             }
-            site.at(entry);
+            site.at(entry, owner.now(), listedAt);
             logChange(site, entry, news.index());
             listed.add(new Listed(site.engine, place(kinds, entry.kind()), place(zones, entry.zone()), entry.cell(),
                     entry.weight(), entry.standing(),
-                    entry.startedMs() == 0 ? 0 : entry.startedMs() * Units.TENTHS_PER_MS,
+                    site.startedAt(),
                     trust.getOrDefault(entry.id(), 1.0)));
         }
+        if (news.whole()) {
+            listedAt = owner.now();
+        }
         return listed;
     }
 
@@ -99,6 +103,11 @@
         }
     }
 
+    /** What was told so far may be of any age: it does not say when a process was not there yet. */
+    void listedLongAgo() {
+        listedAt = Long.MIN_VALUE;
+    }
+
     /** A name that the settings don't know stands behind all that they do. */
     private static int place(List<?> names, String name) {
         int place = names.indexOf(name);
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -36,6 +36,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final long COUNT_EVERY = 10_000 * Units.TENTHS_PER_MS;
     private static final int HEAP_SHARE = 4;
+    /** A turn that comes so much later than it was due means that this process stood still. */
+    private static final long PAUSE_LEAST = 100 * Units.TENTHS_PER_MS;
+    /** How long after a pause what came in it may take to be read. */
+    private static final long CATCH_UP = 50 * Units.TENTHS_PER_MS;
     /** Connections, and the end, are looked after this often at the least. */
     private static final long SWEEP_MOST = 125 * Units.TENTHS_PER_MS;
 
@@ -62,6 +66,11 @@
     private long now;
     private long wakeAt = Long.MAX_VALUE;
     private long sweepAt;
+    /** When the next turn was due as of the last one. */
+    private long expectedAt = Long.MAX_VALUE;
+    /** The last moment before a pause of this process, and until when what is read may have come in it. */
+    private long pausedFrom;
+    private long unreadUntil = Long.MIN_VALUE;
     private long countAt;
     /** The module was told something and has not settled it. */
     private boolean unsettled;
@@ -159,6 +168,10 @@
 
     /** A turn begins; nothing in it is earlier than the turn before. */
     public void begin(long clock) {
+        if (expectedAt != Long.MAX_VALUE && clock > Math.max(expectedAt, now) + PAUSE_LEAST) {
+            pausedFrom = now < unreadUntil ? pausedFrom : now;
+            unreadUntil = clock + CATCH_UP;
+        }
         now = Math.max(now, clock);
         if (side != null) {
             side.begin(now);
@@ -194,6 +207,12 @@
             driver.afterReading(() -> batch.forEach(this::begin));
         }
         driver.flush();
+        expectedAt = dueAt();
+    }
+
+    /** When what is read now may have come at the earliest: while this process stood still, if it just did. */
+    long earliestArrival() {
+        return now < unreadUntil ? pausedFrom : now;
     }
 
     /** Tells the module when the list may be used for longer, or no more. */
--- a/gateway/src/test/java/tillerlink/policy/DiscoveryLeaseTest.java
+++ b/gateway/src/test/java/tillerlink/policy/DiscoveryLeaseTest.java
@@ -82,8 +82,8 @@
     void aPauseBeginsTheCountAnew() {
         confirm(START);
         for (int i = 0; i < 6; i++) {
-            lease.asked(START + 4_000 + i * 1_250);
             lease.observe(START + 4_000 + i * 1_250);
+            lease.asked(START + 4_000 + i * 1_250);
         }
         assertEquals(ListState.DEGRADED, lease.state(START + 20_000));
         assertTrue(lease.observe(START + 40_000));
