--- a/storm/src/main/java/tillerlink/storm/soak/SoakPlay.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakPlay.java
@@ -132,18 +132,8 @@
 
     private void befall(Moment moment) throws IOException {
         SoakFault fault = moment.fault;
-        synchronized (active) {
-            if (!moment.begins) {
-                if (!active.remove(fault)) {
-                    return;
-                }
-            } else if (clashes(fault)) {
-                return;
-            } else {
-                active.forEach(other -> pairs.merge(pair(other.kind(), fault.kind()), 1, Integer::sum));
-                active.add(fault);
-                faults.merge(fault.kind(), 1, Integer::sum);
-            }
+        if (!mayBefall(moment)) {
+            return;
         }
         // What takes its time, as an end by SIGTERM, is over before the next that needs the same process.
         synchronized (lockOf(fault)) {
@@ -153,6 +143,28 @@
                 befallGateway(fault, moment.begins);
             }
         }
+        if (!moment.begins) {
+            synchronized (active) {
+                active.remove(fault);
+            }
+        }
+    }
+
+    /** Whether a fault can begin beside those of now, which is counted; or whether it had begun, so that it can end. */
+    private boolean mayBefall(Moment moment) {
+        SoakFault fault = moment.fault;
+        synchronized (active) {
+            if (!moment.begins) {
+                return active.contains(fault);
+            }
+            if (clashes(fault)) {
+                return false;
+            }
+            active.forEach(other -> pairs.merge(pair(other.kind(), fault.kind()), 1, Integer::sum));
+            active.add(fault);
+            faults.merge(fault.kind(), 1, Integer::sum);
+            return true;
+        }
     }
 
     private Object lockOf(SoakFault fault) {
