--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -169,8 +169,7 @@
     /** A turn begins; nothing in it is earlier than the turn before. */
     public void begin(long clock) {
         if (expectedAt != Long.MAX_VALUE && clock > Math.max(expectedAt, now) + PAUSE_LEAST) {
-            pausedFrom = now < unreadUntil ? pausedFrom : now;
-            unreadUntil = clock + CATCH_UP;
+            paused(clock);
         }
         now = Math.max(now, clock);
         if (side != null) {
@@ -181,6 +180,13 @@
         }
     }
 
+    private void paused(long clock) {
+        telemetry.metrics().add(Counter.PAUSES);
+        telemetry.log().event(clock, Topic.PROCESS, "process stood still", "ms", (clock - now) / Units.TENTHS_PER_MS);
+        pausedFrom = now < unreadUntil ? pausedFrom : now;
+        unreadUntil = clock + CATCH_UP;
+    }
+
     /** All that came in this turn was told: what is due follows, then the module settles once. */
     public void settle() {
         if (now >= sweepAt) {
@@ -458,6 +464,10 @@
 
     /** An answer is ready that a client is owed. */
     void answered(Call call) {
+        if (now < unreadUntil && pausedFrom <= call.submission.leavesAt) {
+            // Its time ran out while this process stood still, which no program can help; the pause is counted.
+            return;
+        }
         report(invariants.answered(now, call.submission), call, "none");
     }
 
--- a/gateway/src/main/java/tillerlink/telemetry/EventLog.java
+++ b/gateway/src/main/java/tillerlink/telemetry/EventLog.java
@@ -15,7 +15,7 @@
  */
 public final class EventLog {
     /** What a line is about. */
-    public enum Topic { ENGINE, DISCOVERY, ATTEMPT, REQUEST, CONNECTION, INVARIANT }
+    public enum Topic { ENGINE, DISCOVERY, ATTEMPT, REQUEST, CONNECTION, PROCESS, INVARIANT }
 
     private static final Logger LOG = LoggerFactory.getLogger("Events");
     private static final int BURST = 40;
