--- a/gateway/src/test/java/tillerlink/net/state/NameServiceTest.java
+++ b/gateway/src/test/java/tillerlink/net/state/NameServiceTest.java
@@ -1,9 +1,11 @@
 package tillerlink.net.state;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -75,6 +77,23 @@
         assertTrue(each < 2.6, each + " questions a second of each");
     }
 
+    /** Guards the turn: answers that are of no use, as cut ones, are no answers, and no fault of the gateway either. */
+    @Test
+    void answersOfNoUseInARow() {
+        Asked asked = new Asked();
+        NameService one = new NameService(asked, 7, 0, GRACE, Telemetry.silent());
+        for (long now = 0; now < 5 * SECOND; now += STEP) {
+            one.sweep(now);
+            if (asked.unanswered >= 0) {
+                byte[] cut = Arrays.copyOf(tillerlink.Lists.answer(asked.unanswered, 1, "e1 ready 127.0.0.1:5050 east std 0 0"), 60);
+                long at = now;
+                assertThrows(IllegalArgumentException.class, () -> one.take(at, cut, 1));
+                asked.unanswered = -1;
+            }
+        }
+        assertTrue(asked.ids.size() > 8, asked.ids.size() + " questions");
+    }
+
     private static List<NameService> fleet(Asked asked) {
         Random seeds = new Random(1);
         List<NameService> fleet = new ArrayList<>();
