Tell the age of the list where questions go unanswered, whatever became of them

The lease knows the age of the list. The soak excuses answers of a gateway while it stands still, not only once it goes on.

--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -66,7 +66,7 @@
             }
             if (unanswered == MANY_UNANSWERED + 1) {
                 telemetry.log().event(now, Topic.DISCOVERY, "name service does not answer", "unanswered", MANY_UNANSWERED,
-                        "since_ms", (now - asked.peekFirst().askedAt) / Units.TENTHS_PER_MS);
+                        "list_age_ms", lease.age(now) / Units.TENTHS_PER_MS);
             }
             lastAt = now;
             nextAt = now + Math.max(1, wait);
--- a/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
@@ -179,6 +179,7 @@
 
     void stop(int gateway) throws IOException {
         gateways.get(gateway).process.stop();
+        oracle.interrupted(gateway, Double.MAX_VALUE);
     }
 
     void goOn(int gateway) throws IOException {
--- a/storm/src/main/java/tillerlink/storm/soak/SoakOracle.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakOracle.java
@@ -140,9 +140,13 @@
 
     // ---- gateways ----
 
-    /** It was killed, or went on after it had stood still: what it was handed before may be late or lost. */
-    synchronized void interrupted(int gateway, double at) {
-        stoodStill.put(gateway, at);
+    /**
+     * It was killed, or stands still: what it was handed before may be late or lost.
+     *
+     * @param until when it went on; later than any time while it stands
+     */
+    synchronized void interrupted(int gateway, double until) {
+        stoodStill.put(gateway, until);
     }
 
     private boolean stoodStill(int gateway, double since) {
