--- a/gateway/src/test/java/tillerlink/GatewayTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayTest.java
@@ -189,6 +189,17 @@
         s.matches("net-news");
     }
 
+    /** Guards clients' time after a pause: what goes on coming without a gap may all have come in it. */
+    @Test
+    void whatComesWithoutAGapAfterAPause() {
+        Stage s = new Stage().pass(500).say("the process stands still, then what had come is read bit by bit").stall(600);
+        for (int i = 1; i <= 4; i++) {
+            s.post("c" + i, "00000000000000a" + i, "look").pass(40);
+        }
+        s.say("a gap, and what comes after it").pass(100).post("c5", "00000000000000a5", "look");
+        s.connected(1).connected(2).connected(3).connected(5).matches("net-paused");
+    }
+
     /** Guards the drain, and the engines that an answer had no room for. */
     @Test
     void anAnswerThatHeldNotAll() {
