Take what goes on coming after a pause without a gap for what came in it

Cause: 50 ms after a pause, what was read counted as new, though 40 connections take longer to be accepted and read on a busy machine. The window goes on while clients are heard with gaps under 50 ms, for a second at the most. Price: after a pause, requests of a busy gateway lose its length of their time for up to a second.

--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -38,8 +38,9 @@
     private static final int HEAP_SHARE = 4;
     /** A turn that comes so much later than it was due means that this process stood still. */
     private static final long PAUSE_LEAST = 100 * Units.TENTHS_PER_MS;
-    /** How long after a pause what came in it may take to be read. */
+    /** With no client heard for so long after a pause, all that came in it has been read; and after so long in any case. */
     private static final long CATCH_UP = 50 * Units.TENTHS_PER_MS;
+    private static final long CATCH_UP_MOST = 1000 * Units.TENTHS_PER_MS;
     /** Connections, and the end, are looked after this often at the least. */
     private static final long SWEEP_MOST = 125 * Units.TENTHS_PER_MS;
 
@@ -71,6 +72,7 @@
     /** The last moment before a pause of this process, and until when what is read may have come in it. */
     private long pausedFrom;
     private long unreadUntil = Long.MIN_VALUE;
+    private long resumedAt;
     private long countAt;
     /** The module was told something and has not settled it. */
     private boolean unsettled;
@@ -184,9 +186,17 @@
         telemetry.metrics().add(Counter.PAUSES);
         telemetry.log().event(clock, Topic.PROCESS, "process stood still", "ms", (clock - now) / Units.TENTHS_PER_MS);
         pausedFrom = now < unreadUntil ? pausedFrom : now;
+        resumedAt = clock;
         unreadUntil = clock + CATCH_UP;
     }
 
+    /** A client was heard: if this goes on from a pause without a gap, what follows may have come in it as well. */
+    private void clientHeard() {
+        if (now < unreadUntil) {
+            unreadUntil = Math.max(unreadUntil, Math.min(now + CATCH_UP, resumedAt + CATCH_UP_MOST));
+        }
+    }
+
     /** All that came in this turn was told: what is due follows, then the module settles once. */
     public void settle() {
         if (now >= sweepAt) {
@@ -218,6 +228,7 @@
 
     /** When what is read now may have come at the earliest: while this process stood still, if it just did. */
     long earliestArrival() {
+        clientHeard();
         return now < unreadUntil ? pausedFrom : now;
     }
 
@@ -266,6 +277,7 @@
 
     /** A client has connected. */
     public Pipe.Owner accepted(Pipe pipe) {
+        clientHeard();
         return clients.accepted(pipe);
     }
 
