--- a/gateway/src/main/java/tillerlink/Policy.java
+++ b/gateway/src/main/java/tillerlink/Policy.java
@@ -930,7 +930,8 @@
 
     private boolean worthAnother(long now, Submission s) {
         return !s.unusable && s.hops.size() < settings.number("caps.max_attempts", 1) && budgetLeft(now)
-                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> openLater(now, s, e));
+                && now + usual(now, s) < tooLateAt(now, s) && engines.stream().anyMatch(e -> openLater(now,
+                        s, e));
     }
 
     /** What is due for a submission: its end, or a look at the hop that is out. */
--- a/gateway/src/main/java/tillerlink/net/io/TimedWrite.java
+++ b/gateway/src/main/java/tillerlink/net/io/TimedWrite.java
@@ -17,7 +17,9 @@
         this.before = before;
     }
 
-    /** MINA writes a duplicate of what it is given; of this one nothing is read again, and the state has to be shared. */
+    /**
+     * MINA writes a duplicate of what it is given; of this one nothing is read again, and the state has to be shared.
+     */
     @Override
     public IoBuffer duplicate() {
         return this;
--- a/gateway/src/main/java/tillerlink/net/life/Rehearsal.java
+++ b/gateway/src/main/java/tillerlink/net/life/Rehearsal.java
@@ -33,7 +33,8 @@
     Rehearsal(Assignment assignment, SteeringFactory modules, long now) {
         this.assignment = assignment;
         this.now = now;
-        gateway = new Gateway(assignment, modules, this, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, null, null, Telemetry.silent());
+        gateway = new Gateway(assignment, modules, this, now, Runtime.getRuntime().maxMemory() / HEAP_SHARE, null,
+                null, Telemetry.silent());
     }
 
     /** @param between called between two rounds, for what can't wait until it is over */
--- a/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientDoor.java
@@ -274,7 +274,8 @@
         if (!call.settled()) {
             call.left = true;
             call.submission.leftAt = now();
-            gateway.telemetry().log().event(now(), Topic.REQUEST, "request abandoned by its client", "id", call.ask.id(),
+            gateway.telemetry().log().event(now(), Topic.REQUEST, "request abandoned by its client", "id",
+                    call.ask.id(),
                     "attempts", call.flights.size(), "after_ms",
                     (now() - call.submission.arrivedAt) / Units.TENTHS_PER_MS);
             call.forgetAt = now();
--- a/gateway/src/main/java/tillerlink/net/state/EngineLink.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineLink.java
@@ -398,7 +398,8 @@
     private void countEnd(Break how) {
         gateway.telemetry().metrics().add(Counter.ENGINE_CONNECTIONS_ENDED, how);
         if (how != Break.CLOSED_BY_US || !flights.isEmpty()) {
-            gateway.telemetry().log().event(gateway.now(), Topic.CONNECTION, "engine connection ended", "engine", site.id,
+            gateway.telemetry().log().event(gateway.now(), Topic.CONNECTION, "engine connection ended", "engine",
+                    site.id,
                     "how", how, "attempts", flights.size(), "up", open);
         }
     }
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -38,7 +38,9 @@
     private static final int HEAP_SHARE = 4;
     /** A turn that comes so much later than it was due means that this process stood still. */
     private static final long PAUSE_LEAST = 100 * Units.TENTHS_PER_MS;
-    /** With no client heard for so long after a pause, all that came in it has been read; and after so long in any case. */
+    /**
+     * With no client heard for so long after a pause, all that came in it has been read; and after so long in any case.
+     */
     private static final long CATCH_UP = 50 * Units.TENTHS_PER_MS;
     private static final long CATCH_UP_MOST = 1000 * Units.TENTHS_PER_MS;
     /** Connections, and the end, are looked after this often at the least. */
@@ -129,7 +131,8 @@
         discovery = new Discovery(engines, steering, invariants, recall, telemetry);
         discovery.start(now, assignment.known());
         unsettled = true;
-        telemetry.metrics().gauge("engine_list_version", "Number of the last event of the engine list.", engines::index);
+        telemetry.metrics().gauge("engine_list_version", "Number of the last event of the engine list.",
+                engines::index);
         telemetry.metrics().gauge("engine_connections", "Engine connections open or coming up.", () -> links);
         telemetry.metrics().gauge("requests_owed", "Requests taken and not yet answered.", () -> clients.owed().size());
     }
@@ -237,7 +240,8 @@
         ListState state = names.lease().state(now);
         long usableUntil = names.lease().usableUntil(now);
         if (state != listState) {
-            telemetry.log().event(now, Topic.DISCOVERY, "trust in the engine list changed", "from", listState, "to", state,
+            telemetry.log().event(now, Topic.DISCOVERY, "trust in the engine list changed", "from", listState, "to",
+                    state,
                     "list_age_ms", names.lease().age(now) / Units.TENTHS_PER_MS, "version", engines.index());
         }
         if (state != listState || usableUntil != listUsableUntil) {
@@ -486,7 +490,8 @@
     private void report(Set<Invariant> broken, Call call, String engine) {
         for (Invariant invariant : broken) {
             telemetry.metrics().add(Counter.INVARIANT_VIOLATIONS, invariant);
-            telemetry.log().event(now, Topic.INVARIANT, "invariant violated", "invariant", invariant, "id", call.ask.id(),
+            telemetry.log().event(now, Topic.INVARIANT, "invariant violated", "invariant", invariant, "id",
+                    call.ask.id(),
                     "engine", engine, "attempts", call.flights.size(), "list", listState, "version", engines.index());
         }
     }
@@ -525,7 +530,8 @@
     private void countGivenUp(Counter counter, Submission submission) {
         Call call = (Call) submission.tag;
         telemetry.metrics().add(counter, submission.endReason);
-        telemetry.log().event(now, Topic.REQUEST, counter == Counter.REQUESTS_REFUSED ? "request refused" : "request failed",
+        telemetry.log().event(now, Topic.REQUEST, counter == Counter.REQUESTS_REFUSED ? "request refused"
+                : "request failed",
                 "id", call.ask.id(), "reason", submission.endReason, "attempts", submission.hops.size(),
                 "after_ms", (now - submission.arrivedAt) / Units.TENTHS_PER_MS);
     }
--- a/gateway/src/main/java/tillerlink/net/state/NameService.java
+++ b/gateway/src/main/java/tillerlink/net/state/NameService.java
@@ -65,7 +65,8 @@
                 driver.askAfresh();
             }
             if (unanswered == MANY_UNANSWERED + 1) {
-                telemetry.log().event(now, Topic.DISCOVERY, "name service does not answer", "unanswered", MANY_UNANSWERED,
+                telemetry.log().event(now, Topic.DISCOVERY, "name service does not answer", "unanswered",
+                        MANY_UNANSWERED,
                         "list_age_ms", lease.age(now) / Units.TENTHS_PER_MS);
             }
             lastAt = now;
--- a/gateway/src/main/java/tillerlink/policy/DiscoveryLease.java
+++ b/gateway/src/main/java/tillerlink/policy/DiscoveryLease.java
@@ -6,16 +6,18 @@
 /**
  * Until when the list of engines may be used for new attempts, given what this process can know.
  *
- * <p>An event (an engine drains or is gone) must be obeyed a grace after it was told. It counts as told when an answer
- * that holds it is sent, whether or not that arrives or is read in time, and at the latest some time after it happened.
- * So knowledge is a lease: an answer to a question asked at {@code t} proves the list as of {@code t}. Anything newer
- * was told no earlier than the first later question that has no answer here, and no earlier than
- * {@link #TOLD_AFTER} after {@code t}. From a grace after that moment on the list is unsafe until another answer comes.
+ * <p>An event (an engine drains or is gone) must be obeyed a grace after it was told. It counts as told when
+ * an answer that holds it is sent, whether or not that arrives or is read in time, and at the latest some
+ * time after it happened. So knowledge is a lease: an answer to a question asked at {@code t} proves the list
+ * as of {@code t}. Anything newer was told no earlier than the first later question that has no answer here,
+ * and no earlier than {@link #TOLD_AFTER} after {@code t}. From a grace after that moment on the list is
+ * unsafe until another answer comes.
  *
- * <p>What is unsafe because this process did not ask or did not run is awaited: a question is out and the answer takes
- * milliseconds. What stays without an answer for several questions in a row is most likely an outage of the name
- * service, in which nobody is told anything; then the last list is used up to {@link #TOLD_ANYWAY_AFTER}, after which
- * events count as told whether or not an answer arrived. docs/incidents/incident-1.md has the price of each choice.
+ * <p>What is unsafe because this process did not ask or did not run is awaited: a question is out and the
+ * answer takes milliseconds. What stays without an answer for several questions in a row is most likely an
+ * outage of the name service, in which nobody is told anything; then the last list is used up to {@link
+ * #TOLD_ANYWAY_AFTER}, after which events count as told whether or not an answer arrived.
+ * docs/incidents/incident-1.md has the price of each choice.
  *
  * <p>Times are tenths of a millisecond of a clock that never steps.
  */
@@ -60,8 +62,8 @@
     }
 
     /**
-     * Called in every turn. A gap means that this process stood still: questions asked before it prove nothing of an
-     * outage.
+     * Called in every turn. A gap means that this process stood still: questions asked before it prove
+     * nothing of an outage.
      *
      * @return whether it stood still, so that the name service is to be asked at once
      */
@@ -99,7 +101,10 @@
         }
     }
 
-    /** An answer came whose list is older than the one that is known: the service is there, and proves nothing newer. */
+    /**
+     * An answer came whose list is older than the one that is known: the service is there, and proves nothing
+     * newer.
+     */
     public void answeredWithOlder(long now) {
         aliveAt = now;
     }
--- a/gateway/src/main/java/tillerlink/policy/InvariantMonitor.java
+++ b/gateway/src/main/java/tillerlink/policy/InvariantMonitor.java
@@ -116,7 +116,8 @@
                 || at > submission.leavesAt + SLACK);
         note(broken, Invariant.LIMIT, attempt.limit > Math.max(0, submission.leavesAt - at) + LIMIT_SLACK);
         note(broken, Invariant.SINGLE_EFFECT, runsTwice(hop, at));
-        note(broken, Invariant.DRAIN, at > notReadySince.getOrDefault(hop.engine, Long.MAX_VALUE - grace - SLACK) + grace + SLACK);
+        note(broken, Invariant.DRAIN, at > notReadySince.getOrDefault(hop.engine, Long.MAX_VALUE - grace - SLACK)
+                + grace + SLACK);
         note(broken, Invariant.WRITE_IN_TIME, at > attempt.before + SLACK);
         note(broken, Invariant.ORDER, submission.ordered() && submission.line.head() != submission
                 && submission.ending == null);
@@ -157,7 +158,10 @@
         return further.least(at) > 1 + budgetFloor + BUDGET_SLACK * budgetShare * taken.most(at);
     }
 
-    /** Whether this gateway alone wrote more to a cold engine than it bears: N and twice its root of mean requests, and 2. */
+    /**
+     * Whether this gateway alone wrote more to a cold engine than it bears: N and twice its root of mean requests, and
+     * 2.
+     */
     private boolean overloadsCold(Hop hop, long at) {
         double work = Math.max(1, hop.nominal * hop.submission.track.terms.width());
         works += work;
--- a/gateway/src/main/java/tillerlink/policy/SendGuard.java
+++ b/gateway/src/main/java/tillerlink/policy/SendGuard.java
@@ -7,13 +7,13 @@
 import tillerlink.model.TrackTerms;
 
 /**
- * The one guard in front of every attempt. It is asked when an engine is chosen and again right before the bytes are
- * handed to a connection, since a dial, a turn or a pause of the process may lie between the two.
+ * The one guard in front of every attempt. It is asked when an engine is chosen and again right before the
+ * bytes are handed to a connection, since a dial, a turn or a pause of the process may lie between the two.
  */
 public final class SendGuard {
     /**
-     * How long after it was allowed an attempt may still be written: for longer, what it was allowed by may have changed
-     * unseen.
+     * How long after it was allowed an attempt may still be written: for longer, what it was allowed by may
+     * have changed unseen.
      */
     public static final long WRITE_WITHIN = 1_000;
 
@@ -30,7 +30,10 @@
         listUsableUntil = until;
     }
 
-    /** Whether a request may be sent to an engine once the list is confirmed: its state, placement and repeats. */
+    /**
+     * Whether a request may be sent to an engine once the list is confirmed: its state, placement and
+     * repeats.
+     */
     public SendVerdict mayGoTo(long now, Submission submission, Engine engine) {
         return mayGoTo(now, submission, engine, null);
     }
--- a/gateway/src/main/java/tillerlink/telemetry/Counter.java
+++ b/gateway/src/main/java/tillerlink/telemetry/Counter.java
@@ -17,9 +17,11 @@
     DISCOVERY_QUESTIONS("discovery_questions_total", "Questions sent to the name service."),
     DISCOVERY_ANSWERS("discovery_answers_total", "Usable answers of the name service."),
     DISCOVERY_UNUSABLE_ANSWERS("discovery_unusable_answers_total", "Datagrams of the name service that were dropped."),
-    DISCOVERY_SOCKETS_REPLACED("discovery_sockets_replaced_total", "Times the socket to the name service was replaced."),
+    DISCOVERY_SOCKETS_REPLACED("discovery_sockets_replaced_total",
+            "Times the socket to the name service was replaced."),
     PAUSES("process_pauses_total", "Times the process stood still for over 0.1 s."),
-    INVARIANT_VIOLATIONS("invariant_violations_total", "Writes and answers that broke a rule, by rule; expected to stay 0.");
+    INVARIANT_VIOLATIONS("invariant_violations_total",
+            "Writes and answers that broke a rule, by rule; expected to stay 0.");
 
     private static final String PREFIX = "tillerlink_";
 
--- a/gateway/src/main/java/tillerlink/telemetry/EventLog.java
+++ b/gateway/src/main/java/tillerlink/telemetry/EventLog.java
@@ -10,8 +10,8 @@
 
 /**
  * Structured lines on what happened and why: a topic, an event, and fields as {@code key=value}. Each topic has a token
- * bucket of its own, so that trouble which repeats fills neither the log nor the processor; what was left out is counted
- * and told with the next line of that topic. Owned by the thread that owns the state.
+ * bucket of its own, so that trouble which repeats fills neither the log nor the processor; what was left out is
+ * counted and told with the next line of that topic. Owned by the thread that owns the state.
  */
 public final class EventLog {
     /** What a line is about. */
--- a/storm/src/main/java/tillerlink/storm/soak/Soak.java
+++ b/storm/src/main/java/tillerlink/storm/soak/Soak.java
@@ -40,16 +40,17 @@
     }
 
     /**
-     * @param args the seed, for how many minutes a run may begin, and how many processes; with a fourth, just the one run of
-     *             that very seed
+     * @param args the seed, for how many minutes a run may begin, and how many processes; with a fourth, just the one
+     * run of             that very seed
      */
     public static void main(String[] args) throws IOException {
         if (args.length < 3) {
-            System.err.println("soak SEED MINUTES PROCESSES, or soak SEED 0 PROCESSES once for a seed that a soak has told");
+            System.err.println("soak SEED MINUTES PROCESSES, or soak SEED 0 PROCESSES once");
             System.exit(2);
         }
         Soak soak = new Soak(Files.createTempDirectory("soak"), System.out);
-        boolean quiet = soak.go(Long.parseLong(args[0]), Double.parseDouble(args[1]), Integer.parseInt(args[2]), args.length > 3);
+        boolean quiet = soak.go(Long.parseLong(args[0]), Double.parseDouble(args[1]), Integer.parseInt(args[2]),
+                args.length > 3);
         System.exit(quiet ? 0 : 1);
     }
 
@@ -77,7 +78,8 @@
         result.pairs().forEach((pair, n) -> pairs.merge(pair, n, Integer::sum));
         boolean fine = result.breaches().isEmpty();
         broken += fine ? 0 : 1;
-        out.printf(Locale.ROOT, "run %d: seed %d, %d faults, %d requests (%d served, %d refused), %d attempts, rig late by %.0f ms at"
+        out.printf(Locale.ROOT,
+                "run %d: seed %d, %d faults, %d requests (%d served, %d refused), %d attempts, rig late by %.0f ms at"
                 + " most: %s%n", runs, schedule.seed(), schedule.faults().size(), result.requests(), result.served(),
                 result.refused(), result.attempts(), result.worstLag(), fine ? "fine" : "BROKEN " + result.counts());
         if (!fine) {
@@ -85,7 +87,8 @@
             out.print(schedule);
             SoakRule rule = result.breaches().get(0).rule();
             out.println("cutting it down to what still breaks " + rule + ", " + TRIES + " runs at the most");
-            List<SoakFault> shortest = Cutter.cut(schedule.faults(), steps -> breaks(schedule.with(steps), rule), TRIES);
+            List<SoakFault> shortest = Cutter.cut(schedule.faults(), steps -> breaks(schedule.with(steps), rule),
+                    TRIES);
             out.println("the shortest that still does:");
             out.print(schedule.with(shortest));
         }
--- a/storm/src/main/java/tillerlink/storm/soak/SoakClock.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakClock.java
@@ -17,7 +17,6 @@
     SoakClock() {
         Thread thread = new Thread(this::beat, "soak-clock");
         thread.setDaemon(true);
-        thread.setPriority(Thread.NORM_PRIORITY);
         thread.start();
     }
 
--- a/storm/src/main/java/tillerlink/storm/soak/SoakEngines.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakEngines.java
@@ -24,8 +24,8 @@
 import tillerlink.standin.EngineCommands.Command;
 
 /**
- * The engines of a soak, each with a port for every gateway, so that what comes tells whose it is. What comes is read and
- * noted at once, whatever the fault; a fault decides what is said to it, and when.
+ * The engines of a soak, each with a port for every gateway, so that what comes tells whose it is. What comes is read
+ * and noted at once, whatever the fault; a fault decides what is said to it, and when.
  */
 final class SoakEngines implements Closeable {
     private static final int PIECE = 4096;
@@ -55,7 +55,8 @@
     private final Selector selector = Selector.open();
     private volatile boolean closed;
 
-    SoakEngines(int engines, int gateways, SoakOracle oracle, SoakClock clock, ScheduledExecutorService later, long seed)
+    SoakEngines(int engines, int gateways, SoakOracle oracle, SoakClock clock, ScheduledExecutorService later,
+            long seed)
             throws IOException {
         this.oracle = oracle;
         this.clock = clock;
@@ -189,7 +190,8 @@
         }
 
         private void want(Command command, double at) {
-            oracle.attempt(new SoakOracle.Attempt(command.id(), port.gateway, port.engine, command.track(), command.limit(), at));
+            oracle.attempt(new SoakOracle.Attempt(command.id(), port.gateway, port.engine, command.track(),
+                    command.limit(), at));
             running.add(command.id());
             double ms = WORK_LEAST_MS + WORK_MORE_MS * draw();
             if (ways.get(port.gateway).contains(SoakFault.Kind.DIAL_LATE) && !served) {
--- a/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
@@ -23,7 +23,8 @@
     private static final long PAUSE_MS = 20;
     /** New connections come for so long after SIGTERM. */
     private static final double STILL_COMING_MS = 250;
-    private static final List<String> ILL = List.of("invariant violated", "an internal fault", "Exception in thread", "died");
+    private static final List<String> ILL = List.of("invariant violated", "an internal fault", "Exception in thread",
+            "died");
 
     private static final class Gateway {
         private final String name;
@@ -56,7 +57,8 @@
         int port(int engine, int gateway);
     }
 
-    SoakGateways(int count, Path folder, String classPath, SoakNames names, PortOf ports, SoakOracle oracle, SoakClock clock) {
+    SoakGateways(int count, Path folder, String classPath, SoakNames names, PortOf ports, SoakOracle oracle,
+            SoakClock clock) {
         this.folder = folder;
         this.classPath = classPath;
         this.names = names;
@@ -110,8 +112,10 @@
         configure(gateway);
         one.startedAt = clock.now();
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xms24m", "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:CICompilerCount=1",
-                "-XX:-UsePerfData", "-Xshare:auto", "-Djava.net.preferIPv4Stack=true", "-cp", classPath, "tillerlink.Main", "serve");
+                "-Xms24m", "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                        "-XX:CICompilerCount=1",
+                "-XX:-UsePerfData", "-Xshare:auto", "-Djava.net.preferIPv4Stack=true", "-cp", classPath,
+                        "tillerlink.Main", "serve");
         builder.environment().put("EDGE_CONFIG", file(gateway).toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(gateway).toFile()));
@@ -140,8 +144,10 @@
             entries = names.list().stream().map(entry -> json(entry, gateway)).collect(Collectors.joining(","));
         }
         String text = "{\"name\":\"" + one.name + "\",\"listen\":\"127.0.0.1:" + one.port + "\",\"seed\":\""
-                + Long.toHexString(0x5c1f30d2L + gateway * 7919L + one.life) + "\",\"limits\":{\"sockets\":608},\"resolver\":\"127.0.0.1:"
-                + names.port(gateway) + "\",\"known\":{\"index\":" + one.indexAtStart + ",\"updates\":[{\"index\":" + one.indexAtStart
+                + Long.toHexString(0x5c1f30d2L + gateway * 7919L + one.life)
+                        + "\",\"limits\":{\"sockets\":608},\"resolver\":\"127.0.0.1:"
+                + names.port(gateway) + "\",\"known\":{\"index\":" + one.indexAtStart + ",\"updates\":[{\"index\":"
+                        + one.indexAtStart
                 + ",\"endpoints\":{\"snapshot\":true,\"endpoints\":[" + entries + "]}}]},\"settings\":"
                 + SoakTerms.settings(gateways.size(), gateway) + "}";
         Path fresh = folder.resolve(one.name + ".json.new");
@@ -152,8 +158,10 @@
     private String json(EngineEntry entry, int gateway) {
         int engine = Integer.parseInt(entry.id().substring(1));
         String status = entry.standing() == tillerlink.model.Engine.Standing.DRAINING ? "DRAINING" : "SERVING";
-        return "{\"name\":\"" + entry.id() + "\",\"address\":\"127.0.0.1:" + ports.port(engine, gateway) + "\",\"zone\":\""
-                + entry.zone() + "\",\"type\":\"std\",\"group\":0,\"status\":\"" + status + "\",\"weight\":1,\"since_ms\":"
+        return "{\"name\":\"" + entry.id() + "\",\"address\":\"127.0.0.1:" + ports.port(engine, gateway)
+                + "\",\"zone\":\""
+                + entry.zone() + "\",\"type\":\"std\",\"group\":0,\"status\":\"" + status
+                        + "\",\"weight\":1,\"since_ms\":"
                 + entry.startedMs() + "}";
     }
 
--- a/storm/src/main/java/tillerlink/storm/soak/SoakLoad.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakLoad.java
@@ -63,7 +63,8 @@
             SoakGateways.pause((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1000));
             if (!ended && gateways.serves(gateway)) {
                 Track track = Track.values()[chance.nextInt(Track.values().length)];
-                Manner manner = chance.nextInt(3) > 0 ? Manner.USUAL : Manner.values()[chance.nextInt(Manner.values().length)];
+                Manner manner = chance.nextInt(3) > 0 ? Manner.USUAL : Manner.values()[chance.nextInt(Manner.values()
+                        .length)];
                 one(gateway, track, manner, chance.nextInt(SUBJECTS), chance.nextLong(50, 1500));
             }
         }
@@ -174,8 +175,10 @@
         private void handIn(Talk talk) throws IOException {
             String body = "SELECT a FROM t_" + subject.substring(1) + ".x";
             String head = (manner == Manner.PIPELINES ? "GET /healthz HTTP/1.1\r\nHost: soak\r\n\r\n".repeat(3) : "")
-                    + "POST /v1/" + track.wireName() + " HTTP/1.1\r\nHost: soak\r\nX-Correlation-Id: " + id + "\r\nX-Deadline-Ms: "
-                    + SoakTerms.DEADLINE_MS + "\r\nX-Estimate-Ms: " + ESTIMATE_MS + (track.ordered ? "\r\nX-Subject: " + subject : "")
+                    + "POST /v1/" + track.wireName() + " HTTP/1.1\r\nHost: soak\r\nX-Correlation-Id: " + id
+                            + "\r\nX-Deadline-Ms: "
+                    + SoakTerms.DEADLINE_MS + "\r\nX-Estimate-Ms: " + ESTIMATE_MS + (track.ordered ? "\r\nX-Subject: "
+                            + subject : "")
                     + "\r\nX-Operation-Key: k" + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
             if (manner == Manner.WRITES_SLOWLY) {
                 for (int at = 0; at < head.length() - 1; at += head.length() / 5) {
@@ -202,7 +205,8 @@
             int fetches = 0;
             try {
                 while (answer == null || answer.goOnAt() != null) {
-                    if (answer == null && (fetches++ == FETCHES_MOST || !SoakGateways.listens(gateways.port(gateway)))) {
+                    if (answer == null && (fetches++ == FETCHES_MOST
+                            || !SoakGateways.listens(gateways.port(gateway)))) {
                         failed("its connection ended without an answer");
                         return;
                     }
--- a/storm/src/main/java/tillerlink/storm/soak/SoakNames.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakNames.java
@@ -223,9 +223,9 @@
     }
 
     /**
-     * When an event counts as told to a gateway that started then: when an answer that holds it was sent, and 1.5 s after it
-     * happened at the latest, counted from the start where that came later and from the end of an outage; 7 s where
-     * the service sent no answers.
+     * When an event counts as told to a gateway that started then: when an answer that holds it was sent, and 1.5 s
+     * after it happened at the latest, counted from the start where that came later and from the end of an outage; 7 s
+     * where the service sent no answers.
      */
     synchronized double toldAt(int gateway, Event event, double startedAt, long indexAtStart) {
         if (event.index <= indexAtStart) {
--- a/storm/src/main/java/tillerlink/storm/soak/SoakOracle.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakOracle.java
@@ -11,8 +11,8 @@
 import tillerlink.storm.soak.SoakTerms.Track;
 
 /**
- * Judges the rules by what clients, engines and the name service saw, and by nothing that a gateway decided. Told from any
- * thread. Times are milliseconds on the clock of the run.
+ * Judges the rules by what clients, engines and the name service saw, and by nothing that a gateway decided. Told from
+ * any thread. Times are milliseconds on the clock of the run.
  */
 final class SoakOracle {
     private static final int WORDS_KEPT = 6;
@@ -31,7 +31,9 @@
 
     /** What the name service told, and where an engine is. */
     interface Told {
-        /** When a gateway was told that the engine drains or is gone, and has not been told otherwise since; or never. */
+        /**
+         * When a gateway was told that the engine drains or is gone, and has not been told otherwise since; or never.
+         */
         double notReadyAt(int gateway, int engine, double at);
 
         /** When the engine's present process started, or 0 if it was always there. */
@@ -114,7 +116,8 @@
         }
         if (!request.excused && at > request.until + SoakTerms.ANSWER_SLACK_MS + SoakTerms.SLACK_MS + clock.lag()
                 && !stoodStill(request.gateway, request.at)) {
-            broken(SoakRule.LOST, "%s of n%d was answered %.0f ms after its time", id, request.gateway, at - request.until);
+            broken(SoakRule.LOST, "%s of n%d was answered %.0f ms after its time", id, request.gateway,
+                    at - request.until);
         }
     }
 
@@ -133,7 +136,8 @@
         Request request = requests.get(id);
         if (!request.excused && request.answer == null && !stoodStill(request.gateway, request.at)) {
             request.excused = true;
-            broken(SoakRule.LOST, "%s of n%d, handed in at %.0f ms: %s at %.0f ms", id, request.gateway, request.at, words,
+            broken(SoakRule.LOST, "%s of n%d, handed in at %.0f ms: %s at %.0f ms", id, request.gateway, request.at,
+                    words,
                     clock.now());
         }
     }
@@ -178,7 +182,8 @@
     private void drain(Attempt attempt, double slack) {
         double since = told.notReadyAt(attempt.gateway, attempt.engine, attempt.at);
         if (attempt.at > since + SoakTerms.GRACE_MS + slack) {
-            broken(SoakRule.DRAIN, "n%d sent %s to e%d at %.0f ms, %.0f ms after it was told", attempt.gateway, attempt.id,
+            broken(SoakRule.DRAIN, "n%d sent %s to e%d at %.0f ms, %.0f ms after it was told", attempt.gateway,
+                    attempt.id,
                     attempt.engine, attempt.at, attempt.at - since);
         }
     }
@@ -191,7 +196,8 @@
             boolean inWindow = request.track == Track.LOAD
                     && attempt.at <= run.attempt.at + SoakTerms.WINDOW_MS + slack;
             if (!inWindow) {
-                broken(SoakRule.DUPLICATE, "%s came to e%d at %.0f ms, after e%d at %.0f ms (%s)", attempt.id, attempt.engine,
+                broken(SoakRule.DUPLICATE, "%s came to e%d at %.0f ms, after e%d at %.0f ms (%s)", attempt.id,
+                        attempt.engine,
                         attempt.at, run.attempt.engine, run.attempt.at, run.end);
             }
         }
@@ -204,7 +210,8 @@
         }
         double left = request.until - attempt.at;
         if (attempt.limitMs > Math.max(0, left) + SoakTerms.LIMIT_SLACK_MS + slack) {
-            broken(SoakRule.LIMIT, "n%d told e%d that %s waits %d ms, and it waits %.0f", attempt.gateway, attempt.engine,
+            broken(SoakRule.LIMIT, "n%d told e%d that %s waits %d ms, and it waits %.0f", attempt.gateway,
+                    attempt.engine,
                     attempt.id, attempt.limitMs, left);
         }
     }
@@ -217,8 +224,10 @@
         boolean out = before != null && before != request && before.answer == null && before.leftAt == Double.MAX_VALUE
                 && before.runs.stream().anyMatch(run -> run.end == null) && !stoodStill(request.gateway, before.at);
         if (out) {
-            broken(SoakRule.ORDER, "%s of %s is out at n%d while one before it is", attempt.id, request.subject, request.gateway);
-        } else if (before != null && before != request && before.at > request.at + SAME_MOMENT_MS && before.until > attempt.at
+            broken(SoakRule.ORDER, "%s of %s is out at n%d while one before it is", attempt.id, request.subject,
+                    request.gateway);
+        } else if (before != null && before != request && before.at > request.at + SAME_MOMENT_MS
+                && before.until > attempt.at
                 && !stoodStill(request.gateway, request.at)) {
             broken(SoakRule.ORDER, "%s of %s went out after one that came later to n%d", attempt.id, request.subject,
                     request.gateway);
@@ -239,12 +248,16 @@
         long recent = came.stream().filter(at -> at >= from - SoakTerms.SLACK_MS).count();
         double most = 1.15 * (SoakTerms.BUDGET_FLOOR + SoakTerms.BUDGET_SHARE * recent) + 1;
         if (more.size() > most) {
-            broken(SoakRule.RETRY_BUDGET, "n%d made %d further attempts in 10 s with %d requests", attempt.gateway, more.size(),
+            broken(SoakRule.RETRY_BUDGET, "n%d made %d further attempts in 10 s with %d requests", attempt.gateway,
+                    more.size(),
                     recent);
         }
     }
 
-    /** By requests of mean work: the engine falls at N and twice its root, and 2; with N under 30 at thrice its root, and 3. */
+    /**
+     * By requests of mean work: the engine falls at N and twice its root, and 2; with N under 30 at thrice its root,
+     * and 3.
+     */
     private void slowStart(Attempt attempt) {
         double started = told.startedAt(attempt.engine, attempt.at);
         if (started <= 0 || attempt.at > started + SoakTerms.WARM_WITHIN_MS) {
@@ -260,7 +273,8 @@
         double most = n < 30 ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
         long knowing = came.stream().filter(one -> told.startToldAt(one.gateway, one.engine, one.at) <= one.at).count();
         if (came.size() > most && knowing > came.size() * 2 / 3) {
-            broken(SoakRule.SLOW_START, "e%d got %d requests in 3 s, %.0f ms after its start, %d of them from who knew; it bears %.0f",
+            broken(SoakRule.SLOW_START,
+                    "e%d got %d requests in 3 s, %.0f ms after its start, %d of them from who knew; it bears %.0f",
                     attempt.engine, came.size(), attempt.at - started, knowing, most);
         }
     }
@@ -268,7 +282,8 @@
     synchronized void attemptEnded(int engine, String id, End end) {
         Request request = requests.get(id);
         if (request != null) {
-            request.runs.stream().filter(run -> run.attempt.engine == engine && run.end == null).forEach(run -> run.end = end);
+            request.runs.stream().filter(run -> run.attempt.engine == engine && run.end == null)
+                    .forEach(run -> run.end = end);
         }
     }
 
@@ -289,7 +304,8 @@
         requests.forEach((id, request) -> {
             boolean owed = request.answer == null && request.leftAt == Double.MAX_VALUE && !request.excused;
             if (owed && !stoodStill(request.gateway, request.at)) {
-                broken(SoakRule.LOST, "%s of n%d, handed in at %.0f ms, was never answered", id, request.gateway, request.at);
+                broken(SoakRule.LOST, "%s of n%d, handed in at %.0f ms, was never answered", id, request.gateway,
+                        request.at);
             }
         });
         return breaches();
--- a/storm/src/main/java/tillerlink/storm/soak/SoakPlay.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakPlay.java
@@ -34,7 +34,8 @@
 
     private final SoakSchedule schedule;
     private final SoakClock clock = new SoakClock();
-    private final ScheduledExecutorService later = new ScheduledThreadPoolExecutor(TIMERS, work -> daemon(work, "soak-timer"));
+    private final ScheduledExecutorService later = new ScheduledThreadPoolExecutor(TIMERS, work -> daemon(work,
+            "soak-timer"));
     private final ExecutorService doing = Executors.newCachedThreadPool(work -> daemon(work, "soak-fault"));
     private final SoakOracle oracle;
     private final SoakNames names;
@@ -57,7 +58,8 @@
             names.happens(entry(e, Engine.Standing.READY, 0));
         }
         names.listFor((entry, gateway) -> new EngineEntry(entry.id(), entry.address(),
-                engines.port(number(entry.id()), gateway), entry.zone(), entry.kind(), entry.cell(), entry.standing(), entry.weight(),
+                engines.port(number(entry.id()), gateway), entry.zone(), entry.kind(), entry.cell(), entry.standing(),
+                        entry.weight(),
                 entry.startedMs()));
     }
 
@@ -68,7 +70,8 @@
     }
 
     private static EngineEntry entry(int engine, Engine.Standing standing, long startedMs) {
-        return new EngineEntry("e" + engine, "127.0.0.1", 1, SoakTerms.ZONES.get(engine % 2), "std", 0, standing, 1, startedMs);
+        return new EngineEntry("e" + engine, "127.0.0.1", 1, SoakTerms.ZONES.get(engine % 2), "std", 0, standing, 1,
+                startedMs);
     }
 
     private static int number(String engine) {
@@ -109,7 +112,8 @@
         gateways.lookForCrashes();
         gateways.lookInside();
         List<SoakBreach> breaches = oracle.end();
-        return new Result(breaches, oracle.counts(), faults, pairs, oracle.requests(), oracle.served(), oracle.refused(),
+        return new Result(breaches, oracle.counts(), faults, pairs, oracle.requests(), oracle.served(),
+                oracle.refused(),
                 oracle.attempts(), clock.worstLag());
     }
 
@@ -178,13 +182,15 @@
 
     /** Two that can't be brought about together: of the same kind at the same place, or that need the process both. */
     private boolean clashes(SoakFault fault) {
-        return active.stream().anyMatch(other -> other.who() == fault.who() && other.kind().target == fault.kind().target
+        return active.stream().anyMatch(other -> other.who() == fault.who() && other.kind().target == fault.kind()
+                .target
                 && (other.kind() == fault.kind() || needsProcess(other) && needsProcess(fault)));
     }
 
     private static boolean needsProcess(SoakFault fault) {
         return switch (fault.kind()) {
-            case STOPPED, KILLED, TERMINATED, RELOADED, RELOADED_THRICE, ENGINE_DRAINS, ENGINE_VANISHES, ENGINE_CRASHES -> true;
+            case STOPPED, KILLED, TERMINATED, RELOADED, RELOADED_THRICE, ENGINE_DRAINS, ENGINE_VANISHES,
+                    ENGINE_CRASHES -> true;
             default -> false;
         };
     }
@@ -280,7 +286,8 @@
         public double notReadyAt(int gateway, int engine, double at) {
             double since = Double.MAX_VALUE;
             for (SoakNames.Event event : names.eventsOf("e" + engine)) {
-                double toldAt = names.toldAt(gateway, event, gateways.startedAt(gateway), gateways.indexAtStart(gateway));
+                double toldAt = names.toldAt(gateway, event, gateways.startedAt(gateway),
+                        gateways.indexAtStart(gateway));
                 if (event.entry().standing() == Engine.Standing.READY) {
                     // Whoever was told, or could have been, may send there again.
                     since = event.at() <= at ? Double.MAX_VALUE : since;
@@ -295,7 +302,8 @@
         public double startedAt(int engine, double at) {
             double started = 0;
             for (SoakNames.Event event : names.eventsOf("e" + engine)) {
-                if (event.at() <= at && event.entry().standing() == Engine.Standing.READY && event.entry().startedMs() > 0) {
+                if (event.at() <= at && event.entry().standing() == Engine.Standing.READY && event.entry()
+                        .startedMs() > 0) {
                     started = event.at();
                 }
             }
@@ -306,7 +314,8 @@
         public double startToldAt(int gateway, int engine, double at) {
             double told = Double.MAX_VALUE;
             for (SoakNames.Event event : names.eventsOf("e" + engine)) {
-                if (event.at() <= at && event.entry().standing() == Engine.Standing.READY && event.entry().startedMs() > 0) {
+                if (event.at() <= at && event.entry().standing() == Engine.Standing.READY && event.entry()
+                        .startedMs() > 0) {
                     told = names.toldAt(gateway, event, gateways.startedAt(gateway), gateways.indexAtStart(gateway));
                 }
             }
--- a/storm/src/main/java/tillerlink/storm/soak/SoakTerms.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakTerms.java
@@ -57,16 +57,20 @@
         for (Track track : Track.values()) {
             tracks.append(tracks.length() == 0 ? "" : ",").append("{\"name\":\"").append(track.wireName())
                     .append("\",\"semantics\":\"").append(track.semantics).append("\",\"group\":\"all\",\"window_us\":")
-                    .append(WINDOW_MS * 1000).append(",\"aim_us\":1500000,\"hard_limit_us\":").append(DEADLINE_MS * 1000)
+                    .append(WINDOW_MS * 1000).append(",\"aim_us\":1500000,\"hard_limit_us\":")
+                            .append(DEADLINE_MS * 1000)
                     .append(",\"worth\":1,\"late_worth\":0.5").append(track.ordered ? ",\"keep_order\":true" : "")
                     .append(track.bound ? ",\"zones_open\":[0]" : "").append('}');
         }
         return "{\"tick_us\":5000,\"instances\":" + instances + ",\"me\":" + me + ",\"guarantees\":{\"drain_grace_us\":"
                 + GRACE_MS * 1000 + ",\"budget_span_us\":" + BUDGET_SPAN_MS * 1000 + ",\"extra_floor\":" + BUDGET_FLOOR
-                + ",\"further_ratio\":" + BUDGET_SHARE + ",\"fall_us\":" + FALL_MS * 1000 + ",\"fall_multiple\":" + FALL_MULTIPLE
+                + ",\"further_ratio\":" + BUDGET_SHARE + ",\"fall_us\":" + FALL_MS * 1000 + ",\"fall_multiple\":"
+                        + FALL_MULTIPLE
                 + ",\"start_capacity\":" + START_CAPACITY + ",\"warm_within_us\":" + WARM_WITHIN_MS * 1000
-                + ",\"settle_after_doubt_us\":500000},\"caps\":{\"max_attempts\":3,\"streams_per_conn\":16,\"may_cancel\":true,"
-                + "\"connect_timeout_us\":500000,\"conn_idle_us\":8000000,\"retry_after\":true,\"max_retry_after_us\":500000},"
+                + ",\"settle_after_doubt_us\":500000},\"caps\":{\"max_attempts\":3,"
+                + "\"streams_per_conn\":16,\"may_cancel\":true,"
+                + "\"connect_timeout_us\":500000,\"conn_idle_us\":8000000,\"retry_after\":true,"
+                + "\"max_retry_after_us\":500000},"
                 + "\"models\":[\"std\"],\"zones\":[\"east\",\"west\"],\"family_info\":{\"kind_cores\":[" + CORES
                 + "],\"tells_every_us\":2000000},\"profiles\":[" + tracks + "]}";
     }
