Let a start from memory go on by it, and emulated connections that ended carry nothing

Causes: a gateway that starts from what it remembers, with discovery down, was held and then refused by the lease, though the module weighs such lists itself (Gateway.watchList); a baseline policy sets neither tracks nor reasons (InvariantMonitor, Gateway.countGivenUp); the emulator counted a write on a connection that had already ended, or to an engine that had said it takes no more, as an attempt that is out (Link.write) - the gateway now sends in the very moment in which an answer comes, which brings that about. The audit is as strict: what such a write carried surely never ran.

--- a/emulator/src/main/java/tillerlink/emulator/Link.java
+++ b/emulator/src/main/java/tillerlink/emulator/Link.java
@@ -28,6 +28,8 @@
     private final EngineSide outgoing;
     private boolean up;
     private boolean over;
+    /** Something that the engine said has come to the gateway. */
+    private boolean heard;
     /** Bytes were swallowed on the way: what follows makes no sense any more. */
     private boolean lost;
     /** When the last that is on its way arrives, each way: nothing overtakes it. */
@@ -67,10 +69,18 @@
 
     @Override
     public void write(byte[] bytes) {
+        if (over) {
+            // It has ended, and the gateway is about to hear of that: nothing goes out any more.
+            return;
+        }
         outgoing.feed(bytes);
         for (Command command = outgoing.next(); command != null; command = outgoing.next()) {
             hops.goesOut(world.now(), command);
         }
+        if (heard) {
+            // What the engine had said before that it will not take surely never runs, though it crossed its word.
+            hops.disowned(id -> side.leftBehind(outgoing, id));
+        }
         int way = world.choices.choose("to the engine", 4);
         tellWritten(world.choices.choose("word of a write", 2) == 1);
         if (way == 1) {
@@ -150,6 +160,7 @@
         for (byte[] part : bytes.length == 0 ? List.<byte[]>of() : parts(said)) {
             inAt = Math.max(inAt, world.now() + delay + late());
             world.timeline.at(inAt, () -> {
+                heard = true;
                 hops.disowned(id -> side.leftBehind(outgoing, id));
                 seat.post(life, () -> {
                     if (!over) {
--- a/gateway/src/main/java/tillerlink/net/state/Discovery.java
+++ b/gateway/src/main/java/tillerlink/net/state/Discovery.java
@@ -32,6 +32,11 @@
         this.telemetry = telemetry;
     }
 
+    /** Whether it goes by what is remembered, whose trust the module weighs, until discovery answers. */
+    boolean goesByMemory() {
+        return blind;
+    }
+
     /** What was known at the start. */
     void start(long now, List<EngineNews> known) {
         known.forEach(news -> listed(now, news));
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -237,8 +237,10 @@
 
     /** Tells the module when the list may be used for longer, or no more. */
     private void watchList() {
-        ListState state = names.lease().state(now);
-        long usableUntil = names.lease().usableUntil(now);
+        // A list from memory is known to be old, and the module weighs how far it trusts each engine of it.
+        boolean remembered = discovery.goesByMemory();
+        ListState state = remembered ? ListState.DEGRADED : names.lease().state(now);
+        long usableUntil = remembered ? Long.MAX_VALUE : names.lease().usableUntil(now);
         if (state != listState) {
             telemetry.log().event(now, Topic.DISCOVERY, "trust in the engine list changed", "from", listState, "to",
                     state,
@@ -529,7 +531,11 @@
 
     private void countGivenUp(Counter counter, Submission submission) {
         Call call = (Call) submission.tag;
-        telemetry.metrics().add(counter, submission.endReason);
+        if (submission.endReason == null) {
+            telemetry.metrics().add(counter);
+        } else {
+            telemetry.metrics().add(counter, submission.endReason);
+        }
         telemetry.log().event(now, Topic.REQUEST, counter == Counter.REQUESTS_REFUSED ? "request refused"
                 : "request failed",
                 "id", call.ask.id(), "reason", submission.endReason, "attempts", submission.hops.size(),
--- a/gateway/src/main/java/tillerlink/policy/InvariantMonitor.java
+++ b/gateway/src/main/java/tillerlink/policy/InvariantMonitor.java
@@ -112,6 +112,10 @@
         Submission submission = hop.submission;
         long at = attempt.firstByteAt;
         hop.writtenAt = at;
+        if (submission.track == null) {
+            // A policy that knows no tracks, as those that others are measured against: it has no terms to hold it to.
+            return broken;
+        }
         note(broken, Invariant.CLIENT_WAITS, submission.ending == Ending.LEFT && at > submission.leftAt + LEFT_SLACK
                 || at > submission.leavesAt + SLACK);
         note(broken, Invariant.LIMIT, attempt.limit > Math.max(0, submission.leavesAt - at) + LIMIT_SLACK);
