--- a/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
@@ -111,6 +111,7 @@
         one.life++;
         configure(gateway);
         one.startedAt = clock.now();
+        oracle.started(gateway);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xms24m", "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
                         "-XX:CICompilerCount=1",
--- a/storm/src/main/java/tillerlink/storm/soak/SoakOracle.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakOracle.java
@@ -153,6 +153,13 @@
         stoodStill.put(gateway, until);
     }
 
+    /** A new process of it begins: budgets and orders count from its start. */
+    synchronized void started(int gateway) {
+        taken.remove(gateway);
+        further.remove(gateway);
+        outBySubject.keySet().removeIf(key -> key.startsWith(gateway + "s"));
+    }
+
     private boolean stoodStill(int gateway, double since) {
         return stoodStill.getOrDefault(gateway, -1.0) >= since;
     }
@@ -243,7 +250,7 @@
         more.addLast(attempt.at);
         double from = attempt.at - SoakTerms.BUDGET_SPAN_MS;
         more.removeIf(at -> at < from);
-        Deque<Double> came = taken.get(attempt.gateway);
+        Deque<Double> came = taken.computeIfAbsent(attempt.gateway, g -> new ArrayDeque<>());
         came.removeIf(at -> at < from - SoakTerms.BUDGET_SPAN_MS);
         long recent = came.stream().filter(at -> at >= from - SoakTerms.SLACK_MS).count();
         double most = 1.15 * (SoakTerms.BUDGET_FLOOR + SoakTerms.BUDGET_SHARE * recent) + 1;
