Count a killed gateway's life as over before its clients can see their connections end

Seen in a soak: a request handed in 47 ms before SIGKILL was held against the gateway, since its client looked before the rig had counted the kill.

--- a/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
+++ b/storm/src/main/java/tillerlink/storm/soak/SoakGateways.java
@@ -199,8 +199,9 @@
     void kill(int gateway) {
         Gateway one = gateways.get(gateway);
         one.servesFrom = Double.MAX_VALUE;
-        one.process.kill();
+        // Before it is killed: clients see their connections end at once.
         one.life++;
+        one.process.kill();
         oracle.interrupted(gateway, clock.now());
     }
 
