--- a/gateway/src/main/java/tillerlink/model/Request.java
+++ b/gateway/src/main/java/tillerlink/model/Request.java
@@ -75,8 +75,8 @@
   private long grant;
   private long grantSent;
 
-  /** The time of the next review; {@code Long.MAX_VALUE} if none is scheduled. */
-  private long wakeAt = Long.MAX_VALUE;
+  /** The timer of the next review; null if none is scheduled. */
+  private RequestTimer timer;
 
   /** Whether the request may have changed since its actions were last reconciled. */
   private boolean reconcilePending;
@@ -202,12 +202,17 @@
     this.grantSent = grantSent;
   }
 
+  /** Returns the time of the next review; {@code Long.MAX_VALUE} if none is scheduled. */
   public long wakeAt() {
-    return wakeAt;
+    return timer == null ? Long.MAX_VALUE : timer.at();
   }
 
-  public void setWakeAt(long wakeAt) {
-    this.wakeAt = wakeAt;
+  RequestTimer timer() {
+    return timer;
+  }
+
+  void setTimer(RequestTimer timer) {
+    this.timer = timer;
   }
 
   public boolean isReconcilePending() {
--- a/gateway/src/main/java/tillerlink/model/RequestClass.java
+++ b/gateway/src/main/java/tillerlink/model/RequestClass.java
@@ -64,15 +64,8 @@
     return bestPace == 0 ? 1 : bestPace;
   }
 
-  /**
-   * Removes the requests at the head of the queue that have an outcome, and returns the new head.
-   *
-   * @return the first queued request without an outcome, or null if there is none
-   */
+  /** Returns the first queued request, or null if there is none. */
   public Request firstQueued() {
-    while (!queue.isEmpty() && queue.peekFirst().outcome != null) {
-      queue.pollFirst().setQueued(false);
-    }
     return queue.peekFirst();
   }
 
--- a/gateway/src/main/java/tillerlink/model/RequestTimers.java
+++ b/gateway/src/main/java/tillerlink/model/RequestTimers.java
@@ -1,17 +1,16 @@
 package tillerlink.model;
 
-import java.util.PriorityQueue;
+import java.util.Comparator;
+import java.util.TreeSet;
 
 /**
  * The timers for the next review of each request, in tenths of a millisecond. A request has at most
- * one timer: setting it again replaces the previous one.
+ * one timer: setting it again replaces the previous one. No request without a timer is referenced.
  */
 public final class RequestTimers {
-  private record Timer(long at, long sequence, Request request) {}
-
-  private final PriorityQueue<Timer> timers =
-      new PriorityQueue<>(
-          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.sequence, b.sequence));
+  private final TreeSet<RequestTimer> timers =
+      new TreeSet<>(
+          Comparator.comparingLong(RequestTimer::at).thenComparingLong(RequestTimer::sequence));
   private long nextSequence;
 
   /**
@@ -21,8 +20,18 @@
    * @param at the time of the review, in tenths of a millisecond
    */
   public void set(Request request, long at) {
-    request.setWakeAt(at);
-    timers.add(new Timer(at, nextSequence++, request));
+    cancel(request);
+    RequestTimer timer = new RequestTimer(at, nextSequence++, request);
+    request.setTimer(timer);
+    timers.add(timer);
+  }
+
+  /** Removes the timer of a request, if it has one. */
+  public void cancel(Request request) {
+    if (request.timer() != null) {
+      timers.remove(request.timer());
+      request.setTimer(null);
+    }
   }
 
   /**
@@ -32,11 +41,10 @@
    * @return a request without an outcome, or null if none is due
    */
   public Request pollDue(long now) {
-    while (!timers.isEmpty() && timers.peek().at <= now) {
-      Timer timer = timers.poll();
-      Request request = timer.request;
-      if (request.wakeAt() == timer.at && request.outcome == null) {
-        request.setWakeAt(Long.MAX_VALUE);
+    while (!timers.isEmpty() && timers.first().at() <= now) {
+      Request request = timers.first().request();
+      cancel(request);
+      if (request.outcome == null) {
         return request;
       }
     }
@@ -49,6 +57,6 @@
    * @return tenths of a millisecond; {@code Long.MAX_VALUE} if there is no timer
    */
   public long nextDueAt() {
-    return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
+    return timers.isEmpty() ? Long.MAX_VALUE : timers.first().at();
   }
 }
--- a/gateway/src/main/java/tillerlink/net/lifecycle/JvmWarmup.java
+++ b/gateway/src/main/java/tillerlink/net/lifecycle/JvmWarmup.java
@@ -19,9 +19,6 @@
  * long when the process has only part of a core.
  */
 final class JvmWarmup implements NetworkDriver {
-  /** The simulated gateway may use the maximum heap size divided by this number. */
-  private static final int HEAP_DIVISOR = 4;
-
   private static final int ROUNDS = 600;
 
   /** The simulated time between two rounds, in tenths of a millisecond. */
@@ -47,7 +44,7 @@
             policies,
             this,
             now,
-            Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
+            Gateway.maxRetainedBytes(),
             null,
             null,
             Telemetry.silent());
--- a/gateway/src/main/java/tillerlink/net/state/ActionExecutor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ActionExecutor.java
@@ -65,6 +65,9 @@
       return;
     }
     SendVerdict verdict = inFlight.checkSend();
+    if (verdict == SendVerdict.ALLOWED && !requests.reservations().tryReserve(inFlight)) {
+      verdict = SendVerdict.OUT_OF_MEMORY;
+    }
     if (verdict == SendVerdict.ALLOWED) {
       inFlight.transport().send(inFlight);
     } else {
--- a/gateway/src/main/java/tillerlink/net/state/ClientConnection.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientConnection.java
@@ -1,6 +1,6 @@
 package tillerlink.net.state;
 
-import java.util.ArrayDeque;
+import tillerlink.net.wire.ClientAnswer;
 import tillerlink.net.wire.HttpParseResult;
 import tillerlink.net.wire.HttpResponse;
 import tillerlink.plain.Units;
@@ -41,6 +41,9 @@
   /** How long a write may stay unfinished before the connection is aborted. */
   private static final long WRITE_STALL_TIMEOUT = 5000 * Units.TENTHS_PER_MS;
 
+  /** The memory that a connection takes apart from its input and its output. */
+  private static final int OVERHEAD_BYTES = 4096;
+
   /** How long input is discarded after a refusal, since an early close could lose the answer. */
   private static final long DISCARD_PERIOD = 1000 * Units.TENTHS_PER_MS;
 
@@ -49,12 +52,15 @@
   private final RetainedBytes retained;
   private final Channel channel;
   private final ClientInput input;
-
-  /** The sizes in bytes of the writes that have not completed yet, oldest first. */
-  private final ArrayDeque<Integer> unwrittenSizes = new ArrayDeque<>();
-
+  private final ClientOutput output;
   private boolean requestInProgress;
+
+  /** The answer to the request in progress is the last one on this connection. */
   private boolean closeAfterAnswer;
+
+  /** The answer that is being sent is the last one on this connection. */
+  private boolean sendingLastAnswer;
+
   private boolean closed;
 
   /** An action that may close the connection is waiting for pending reads to be processed. */
@@ -75,6 +81,9 @@
   /** The request for whose answer the client is waiting, or null. */
   private PendingResponse awaitedResponse;
 
+  /** The request whose answer is being sent, or null. */
+  private PendingResponse deliveredResponse;
+
   /** The request in progress will be answered by the extension, which has not done so yet. */
   private boolean awaitingExtension;
 
@@ -90,6 +99,8 @@
     requests = handler.requests();
     retained = handler.retained();
     input = new ClientInput(channel, retained);
+    output = new ClientOutput(channel, retained);
+    retained.add(OVERHEAD_BYTES);
     lastActivityAt = handler.now();
     requestStartedAt = lastActivityAt;
   }
@@ -98,7 +109,7 @@
 
   Use usage() {
     boolean open =
-        requestInProgress || hasUnwrittenBytes() || (submitted != null && !submitted.isSettled());
+        requestInProgress || output.isPending() || (submitted != null && !submitted.isSettled());
     return open
         ? Use.OPEN
         : !requestReceived ? Use.UNSPOKEN : acceptedSubmissions < 2 ? Use.ONCE : Use.IDLE;
@@ -144,9 +155,11 @@
 
   @Override
   public void onWritten() {
-    retained.add(-unwrittenSizes.poll());
-    if (unwrittenSizes.isEmpty()) {
-      lastActivityAt = handler.now();
+    output.onWritten();
+    lastActivityAt = handler.now();
+    closeIfLastAnswerPassed();
+    if (!output.isPending()) {
+      endDelivery();
       if (requestInProgress && awaitedResponse == null && !awaitingExtension) {
         requestInProgress = false;
         parse();
@@ -173,14 +186,15 @@
       awaitedResponse.waitingConnection = null;
       requests.onConnectionLost(awaitedResponse);
     }
-    if (submitted != null && !unwrittenSizes.isEmpty()) {
+    if (submitted != null && output.isPending()) {
       requests.cancel(submitted);
     } else if (submitted != null) {
       requests.onConnectionLost(submitted);
     }
-    unwrittenSizes.forEach(size -> retained.add(-size));
-    unwrittenSizes.clear();
+    endDelivery();
+    output.release();
     input.release();
+    retained.add(-OVERHEAD_BYTES);
     handler.connections().remove(this);
   }
 
@@ -189,7 +203,7 @@
     if (!requestInProgress && !closed) {
       HttpParseResult parsed = input.next();
       if (input.expectsContinue()) {
-        write(HttpResponse.continueResponse());
+        output.write(HttpResponse.continueResponse());
       }
       if (parsed != null) {
         requestInProgress = true;
@@ -202,12 +216,6 @@
     input.updateReadingPaused(requestInProgress, closed);
   }
 
-  private void write(byte[] bytes) {
-    unwrittenSizes.add(bytes.length);
-    retained.add(bytes.length);
-    channel.write(bytes);
-  }
-
   // ---- the request in progress ----
 
   /** Makes the answer to the request in progress the last one on this connection. */
@@ -234,16 +242,44 @@
 
   /** Sends the answer to the request in progress. */
   void answer(HttpResponse answer) {
+    if (!closed) {
+      send(answer, answer.retainedBytes());
+    }
+  }
+
+  /**
+   * Sends the final answer of a request as the answer to the request in progress. The registry is
+   * notified once that has ended.
+   */
+  void deliver(PendingResponse pending) {
+    deliveredResponse = pending;
     if (closed) {
+      endDelivery();
       return;
     }
+    // The answer is a part of the memory reserved for the request.
+    send(pending.answer, 0);
+  }
+
+  private void endDelivery() {
+    if (deliveredResponse != null) {
+      PendingResponse pending = deliveredResponse;
+      deliveredResponse = null;
+      requests.onDeliveryEnded(pending);
+    }
+  }
+
+  private void send(ClientAnswer answer, int retainedBytes) {
     awaitedResponse = null;
     lastActivityAt = handler.now();
-    write((closeAfterAnswer ? answer.closingConnection() : answer).encode());
-    if (closeAfterAnswer) {
-      closed = true;
-      localReason = ClientDisconnectReason.AFTER_ANSWER;
-      channel.close();
+    sendingLastAnswer = closeAfterAnswer;
+    output.send(closeAfterAnswer ? answer.closingConnection() : answer, retainedBytes);
+    closeIfLastAnswerPassed();
+  }
+
+  private void closeIfLastAnswerPassed() {
+    if (sendingLastAnswer && !closed && output.isAnswerPassed()) {
+      close(ClientDisconnectReason.AFTER_ANSWER);
     }
   }
 
@@ -253,25 +289,36 @@
    */
   void refuse(HttpResponse answer) {
     lastActivityAt = handler.now();
-    write(answer.closingConnection().encode());
+    output.send(answer.closingConnection(), answer.retainedBytes());
     closed = true;
     localReason = ClientDisconnectReason.AFTER_REFUSAL;
   }
 
-  /** Returns the reply by which the extension answers the request in progress, now or later. */
-  GatewayExtension.Reply answerLater() {
+  /**
+   * Returns the reply by which the extension answers the request in progress, now or later.
+   *
+   * @param requestBytes the bytes of the request that the extension holds until then
+   */
+  GatewayExtension.Reply answerLater(int requestBytes) {
     awaitingExtension = true;
-    return new OnceReply();
+    return new OnceReply(requestBytes);
   }
 
   /** Sends the first answer and ignores any further ones. */
   private final class OnceReply implements GatewayExtension.Reply {
+    private final int requestBytes;
     private boolean answered;
 
+    OnceReply(int requestBytes) {
+      this.requestBytes = requestBytes;
+      retained.add(requestBytes);
+    }
+
     @Override
     public void answer(HttpResponse answer) {
       if (!answered) {
         answered = true;
+        retained.add(-requestBytes);
         awaitingExtension = false;
         ClientConnection.this.answer(answer);
       }
@@ -284,14 +331,10 @@
    * been received in part.
    */
   boolean hasUnsentAnswer() {
-    return hasUnwrittenBytes()
+    return output.isPending()
         || (!closed && (awaitingExtension || (handler.closing() && input.hasPartialRequest())));
   }
 
-  private boolean hasUnwrittenBytes() {
-    return !unwrittenSizes.isEmpty();
-  }
-
   // ---- time ----
 
   /**
@@ -300,8 +343,8 @@
    * do not read answers. No timeout applies while a request waits for its answer.
    */
   void checkTimeouts() {
-    if (closed || hasUnwrittenBytes()) {
-      long limit = closed && !hasUnwrittenBytes() ? DISCARD_PERIOD : WRITE_STALL_TIMEOUT;
+    if (closed || output.isPending()) {
+      long limit = closed && !output.isPending() ? DISCARD_PERIOD : WRITE_STALL_TIMEOUT;
       if (handler.now() >= lastActivityAt + limit) {
         abort(ClientDisconnectReason.STALLED);
       }
--- a/gateway/src/main/java/tillerlink/net/state/ClientInput.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientInput.java
@@ -89,7 +89,7 @@
    * closed the connection.
    */
   void updateReadingPaused(boolean requestInProgress, boolean closed) {
-    setRetainedByteCount(parser.unconsumedBytes());
+    setRetainedByteCount(parser.retainedBytes());
     int limit = retained.isFull() ? MAX_PIPELINED_BYTES_WHEN_FULL : MAX_PIPELINED_BYTES;
     boolean pause = requestInProgress && parser.unconsumedBytes() > limit;
     if (pause != readingPaused && !closed) {
--- a/gateway/src/main/java/tillerlink/net/state/ClientRequestHandler.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientRequestHandler.java
@@ -110,7 +110,7 @@
     if (retained.isFull() && request.body().length > 0) {
       client.answer(requests.overloaded());
     } else {
-      extension.onRequest(request, client.answerLater());
+      extension.onRequest(request, client.answerLater(request.body().length));
     }
   }
 
--- a/gateway/src/main/java/tillerlink/net/state/EngineResponseHandler.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineResponseHandler.java
@@ -11,7 +11,6 @@
  */
 final class EngineResponseHandler {
   private static final int MAX_PAGES = 64;
-  private static final int MAX_RESULT_BYTES = 48_000;
 
   private final EngineConnection connection;
   private final EngineTransport.Owner owner;
@@ -88,16 +87,16 @@
     }
     inFlight.pages = new byte[pages][];
     inFlight.missingPages = pages;
-    inFlight.addPage(0, response.body());
+    storePage(inFlight, 0, response.body());
     requestMissingPages(inFlight);
-    onPageAdded(inFlight, response);
+    endIfComplete(inFlight);
   }
 
   /** Stores a further page of a result; ignores one that is not missing. */
   private void addPage(InFlightAttempt inFlight, EngineResponse response) {
     if (inFlight.isPageMissing(response.number())) {
-      inFlight.addPage(response.number(), response.body());
-      onPageAdded(inFlight, response);
+      storePage(inFlight, response.number(), response.body());
+      endIfComplete(inFlight);
     }
   }
 
@@ -110,14 +109,20 @@
     }
   }
 
-  /** Counts the bytes of a page that was stored, and ends the attempt after its last page. */
-  private void onPageAdded(InFlightAttempt inFlight, EngineResponse response) {
-    owner.retainedBytesChanged(response.body().length);
-    if (inFlight.resultBytes > MAX_RESULT_BYTES) {
+  private static void storePage(InFlightAttempt inFlight, int number, byte[] page) {
+    if (!inFlight.hasRoomFor(page.length)) {
       inFlight.pages = null;
       throw new IllegalArgumentException(
-          "result length " + inFlight.resultBytes + " exceeds " + MAX_RESULT_BYTES);
+          "result length "
+              + (inFlight.resultBytes + page.length)
+              + " exceeds "
+              + InFlightAttempt.MAX_RESULT_BYTES);
     }
+    inFlight.addPage(number, page);
+  }
+
+  /** Ends an attempt whose result is complete. */
+  private void endIfComplete(InFlightAttempt inFlight) {
     if (inFlight.missingPages == 0) {
       if (inFlight.pages.length > 1) {
         connection.write(EngineCommand.release(inFlight.id()));
--- a/gateway/src/main/java/tillerlink/net/state/EngineTransport.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineTransport.java
@@ -62,13 +62,6 @@
     /** Runs a task at the beginning of the next iteration. */
     void runInNextIteration(Runnable task);
 
-    /**
-     * Reports a change of the number of bytes that are retained for clients.
-     *
-     * @param change the change in bytes; negative if fewer are retained
-     */
-    void retainedBytesChanged(long change);
-
     /** Returns the counters and the event log. */
     Telemetry telemetry();
 
--- a/gateway/src/main/java/tillerlink/net/state/EngineTransportOwner.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineTransportOwner.java
@@ -4,7 +4,6 @@
 import tillerlink.model.AttemptOutcome;
 import tillerlink.model.AttemptProgress;
 import tillerlink.model.Settings;
-import tillerlink.net.wire.ResultEncoder;
 import tillerlink.port.SendVerdict;
 import tillerlink.telemetry.Telemetry;
 
@@ -16,7 +15,6 @@
 final class EngineTransportOwner implements EngineTransport.Owner {
   private final GatewayContext context;
   private final RequestRegistry requests;
-  private final RetainedBytes retained;
   private final FencedRequests fencedRequests;
   private final NetworkSettings networkSettings;
   private final EndpointList endpoints;
@@ -32,14 +30,12 @@
   EngineTransportOwner(
       GatewayContext context,
       RequestRegistry requests,
-      RetainedBytes retained,
       FencedRequests fencedRequests,
       NetworkSettings networkSettings,
       Settings policySettings,
       EngineTransport.Factory factory) {
     this.context = context;
     this.requests = requests;
-    this.retained = retained;
     this.fencedRequests = fencedRequests;
     this.networkSettings = networkSettings;
     endpoints =
@@ -83,11 +79,6 @@
     context.iteration().runInNextIteration(task);
   }
 
-  @Override
-  public void retainedBytesChanged(long change) {
-    retained.add(change);
-  }
-
   // ---- attempts ----
 
   @Override
@@ -126,13 +117,13 @@
     AttemptOutcome outcome =
         inFlight.hasGuard() ? fencedRequests.onEnded(inFlight, reported) : reported;
     if (outcome == AttemptOutcome.SUCCEEDED) {
-      requests.succeed(inFlight.pending, ResultEncoder.answer(inFlight.pages));
+      requests.succeed(inFlight.pending, inFlight.pages);
     }
     inFlight.releaseResult();
-    retainedBytesChanged(-inFlight.resultBytes);
     long elapsed = context.now() - inFlight.attempt.sentAt;
     context.dispatchLog().attemptEnded(inFlight, outcome, elapsed);
     context.policyEvents().attemptEnded(inFlight, outcome, elapsed);
+    requests.reservations().onAttemptEnded(inFlight);
   }
 
   /**
--- a/gateway/src/main/java/tillerlink/net/state/FencedRequests.java
+++ b/gateway/src/main/java/tillerlink/net/state/FencedRequests.java
@@ -1,10 +1,5 @@
 package tillerlink.net.state;
 
-import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
 import tillerlink.model.AttemptOutcome;
 import tillerlink.model.Effect;
 import tillerlink.net.wire.HttpRequest;
@@ -19,9 +14,6 @@
   private final GatewayContext context;
   private final RequestRegistry requests;
 
-  /** The guarded requests that have not been answered or cancelled. */
-  private final Set<PendingResponse> unsettled = new LinkedHashSet<>();
-
   FencedRequests(GatewayContext context, RequestRegistry requests) {
     this.context = context;
     this.requests = requests;
@@ -30,26 +22,15 @@
   @Override
   public void submit(
       HttpRequest request, GatewayExtension.Guard guard, GatewayExtension.Reply reply) {
-    PendingResponse pending = requests.submit(request, guard, reply);
-    if (pending != null) {
-      unsettled.add(pending);
-    }
+    requests.submit(request, guard, reply);
   }
 
   @Override
   public void recheckGuards() {
-    List<PendingResponse> withdrawn = new ArrayList<>();
-    for (Iterator<PendingResponse> iterator = unsettled.iterator(); iterator.hasNext(); ) {
-      PendingResponse pending = iterator.next();
-      if (pending.isSettled()) {
-        iterator.remove();
-      } else if (pending.attempts.stream().noneMatch(inFlight -> inFlight.attempt.isInFlight())
-          && !pending.guard.holds()) {
-        withdrawn.add(pending);
-        iterator.remove();
-      }
-    }
-    withdrawn.forEach(this::withdraw);
+    requests.unsettledGuarded().stream()
+        .filter(pending -> !pending.hasAttemptInFlight() && !pending.guard.holds())
+        .toList()
+        .forEach(this::withdraw);
   }
 
   /**
@@ -88,9 +69,6 @@
         return AttemptOutcome.RESPONSE_LOST;
       }
     }
-    if (inFlight.pending.isSettled()) {
-      unsettled.remove(inFlight.pending);
-    }
     return outcome;
   }
 
@@ -110,7 +88,6 @@
    * may be run again, otherwise it fails; the policy cancels the attempts that are still in flight.
    */
   private void withdraw(PendingResponse pending) {
-    unsettled.remove(pending);
     if (pending.isSettled()) {
       return;
     }
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -27,8 +27,11 @@
  * </ul>
  */
 public final class Gateway {
-  /** Bytes retained for clients may take the maximum heap size divided by this number. */
-  private static final int HEAP_DIVISOR = 4;
+  /**
+   * Bytes retained for clients may take the maximum heap size divided by this number. The rest is
+   * for the state of the policy, for bytes that are being read or written, and for garbage.
+   */
+  private static final int HEAP_DIVISOR = 3;
 
   private final GatewayContext context;
   private final ClientRequestHandler clients;
@@ -46,10 +49,12 @@
     this(config, factory, driver, now, null, null);
   }
 
-  /**
-   * Creates a gateway that retains at most a quarter of this process's maximum heap size for
-   * clients.
-   */
+  /** Returns the number of bytes that a gateway of this process may retain for clients. */
+  public static long maxRetainedBytes() {
+    return Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
+  }
+
+  /** Creates a gateway that retains at most {@link #maxRetainedBytes} for clients. */
   public Gateway(
       GatewayConfig config,
       DispatchPolicyFactory factory,
@@ -62,7 +67,7 @@
         factory,
         driver,
         now,
-        Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
+        maxRetainedBytes(),
         transports,
         endpointCache,
         Telemetry.logging());
@@ -72,7 +77,8 @@
    * Creates a gateway.
    *
    * @param now the current time, in tenths of a millisecond
-   * @param maxBytes the number of bytes retained for clients above which no request is accepted
+   * @param maxBytes the number of bytes that may be retained for clients; a request that may need
+   *     more is not accepted
    * @param transportFactory creates the transports of engines by their kinds; the line protocol is
    *     used if it is null, and for engines for which it returns null
    * @param endpointCache stores the endpoint list across restarts, or null for no cache
@@ -100,7 +106,6 @@
         new EngineTransportOwner(
             context,
             clients.requests(),
-            clients.retained(),
             fencedRequests,
             networkSettings,
             settings,
@@ -135,6 +140,10 @@
         "requests_pending",
         "Requests accepted and not yet answered.",
         () -> clients.requests().unanswered().size());
+    metrics.gauge(
+        "client_memory_retained_bytes",
+        "Memory retained or reserved for clients.",
+        clients.retained()::bytes);
   }
 
   /**
--- a/gateway/src/main/java/tillerlink/net/state/InFlightAttempt.java
+++ b/gateway/src/main/java/tillerlink/net/state/InFlightAttempt.java
@@ -1,6 +1,6 @@
 package tillerlink.net.state;
 
-import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 import java.util.function.Function;
 import tillerlink.model.Attempt;
 import tillerlink.net.wire.ResultEncoder;
@@ -13,6 +13,11 @@
  * otherwise.
  */
 public final class InFlightAttempt {
+  /** The limit on the length of a result, in bytes. */
+  public static final int MAX_RESULT_BYTES = 48_000;
+
+  private static final byte[] NO_BYTES = new byte[0];
+
   /** The value of {@link #writeNumber} while the attempt has not been passed to a channel. */
   static final long UNSENT = Long.MAX_VALUE;
 
@@ -40,6 +45,9 @@
   /** The number of bytes of its result that were received. */
   int resultBytes;
 
+  /** The bytes of memory that are reserved for it beside those of its request. */
+  long reservedBytes;
+
   /** Whether the guard of the request was notified that the attempt may be written. */
   boolean startNotified;
 
@@ -58,8 +66,11 @@
   /** The number of times that the rest of its result was requested on another connection. */
   private int resumptions;
 
-  /** A result that is received as one body; null before it has started. */
-  private ByteArrayOutputStream result;
+  /**
+   * A buffer with the first {@link #resultBytes} bytes of a result that is received as one body;
+   * null before it has started.
+   */
+  private byte[] body;
 
   private final Function<Attempt, SendVerdict> policyCheck;
 
@@ -176,7 +187,7 @@
 
   /** Records that the engine has executed the attempt and that its result follows. */
   public void startResult() {
-    result = new ByteArrayOutputStream();
+    body = NO_BYTES;
   }
 
   /**
@@ -184,18 +195,27 @@
    * rest of the result.
    */
   public boolean resultStarted() {
-    return result != null;
+    return body != null;
   }
 
   /** Returns the number of bytes of the body that were received. */
   public int resultSize() {
-    return result.size();
+    return resultBytes;
+  }
+
+  /** Returns whether a part of the result may follow without exceeding its greatest length. */
+  public boolean hasRoomFor(int byteCount) {
+    return resultBytes + byteCount <= MAX_RESULT_BYTES;
   }
 
-  /** Appends a part of the body. */
+  /** Appends a part of the body, for which there must be room. */
   public void appendResult(byte[] part) {
-    result.writeBytes(part);
-    resultBytes += part.length;
+    int size = resultBytes + part.length;
+    if (size > body.length) {
+      body = Arrays.copyOf(body, Math.max(size, Math.min(MAX_RESULT_BYTES, 2 * body.length)));
+    }
+    System.arraycopy(part, 0, body, resultBytes, part.length);
+    resultBytes = size;
   }
 
   /**
@@ -204,7 +224,7 @@
    * @return false if the body is not a valid result
    */
   public boolean completeResult() {
-    byte[] rows = result.toByteArray();
+    byte[] rows = Arrays.copyOf(body, resultBytes);
     try {
       ResultEncoder.check(rows);
     } catch (IllegalArgumentException e) {
@@ -243,6 +263,6 @@
   /** Releases the memory of the result. */
   void releaseResult() {
     pages = null;
-    result = null;
+    body = null;
   }
 }
--- a/gateway/src/main/java/tillerlink/net/state/PendingResponse.java
+++ b/gateway/src/main/java/tillerlink/net/state/PendingResponse.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import tillerlink.model.KeyedRequestQueue;
 import tillerlink.model.Request;
-import tillerlink.net.wire.HttpResponse;
+import tillerlink.net.wire.ClientAnswer;
 import tillerlink.net.wire.SubmitRequest;
 
 /**
@@ -29,7 +29,7 @@
    * The final answer, or null. It is retained for a while because a client whose connection broke
    * may fetch it again.
    */
-  HttpResponse answer;
+  ClientAnswer answer;
 
   /** The answer was passed to a client connection. */
   boolean delivered;
@@ -43,6 +43,15 @@
   /** The time from which the retention period of the request counts. */
   long retentionStart;
 
+  /** The number of client connections to which the answer is being sent. */
+  int activeDeliveries;
+
+  /** The bytes of memory that are reserved for it, see {@link RequestReservations}. */
+  long reservedBytes;
+
+  /** The attempt in flight whose result that memory includes, or null. */
+  InFlightAttempt attemptInReservation;
+
   /**
    * Creates a request that has no answer.
    *
@@ -73,6 +82,11 @@
     return submitted.id();
   }
 
+  /** Returns whether an attempt of the request is in flight. */
+  boolean hasAttemptInFlight() {
+    return attempts.stream().anyMatch(inFlight -> inFlight.attempt.isInFlight());
+  }
+
   /** Returns whether the request has its final answer or was cancelled. */
   boolean isSettled() {
     return answer != null || cancelled;
--- a/gateway/src/main/java/tillerlink/net/state/RequestRegistry.java
+++ b/gateway/src/main/java/tillerlink/net/state/RequestRegistry.java
@@ -4,14 +4,18 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import tillerlink.model.KeyedRequestQueue;
 import tillerlink.model.Settings;
+import tillerlink.net.wire.ClientAnswer;
 import tillerlink.net.wire.HttpRequest;
 import tillerlink.net.wire.HttpResponse;
 import tillerlink.net.wire.MalformedProtocolException;
+import tillerlink.net.wire.ResultResponse;
 import tillerlink.net.wire.SubmitRequest;
 import tillerlink.plain.Units;
 import tillerlink.telemetry.EventLog.Topic;
@@ -37,8 +41,12 @@
   private final GatewayContext context;
   private final RequestClasses classes;
   private final RetainedBytes retained;
+  private final RequestReservations reservations;
   private final Map<String, PendingResponse> byId = new LinkedHashMap<>();
 
+  /** The requests with a guard that are neither answered nor cancelled. */
+  private final Set<PendingResponse> unsettledGuarded = new LinkedHashSet<>();
+
   /** The queues of open requests by subject, for request classes that preserve the order. */
   private final Map<String, KeyedRequestQueue> queues = new HashMap<>();
 
@@ -52,6 +60,7 @@
   RequestRegistry(GatewayContext context, Settings settings, RetainedBytes retained) {
     this.context = context;
     this.retained = retained;
+    reservations = new RequestReservations(retained);
     classes = new RequestClasses(settings);
     maxRequests = Math.min(MAX_REQUESTS, settings.number("caps.max_open", MAX_REQUESTS));
     retryAfter = settings.flag("caps.retry_after") ? settings.number("caps.max_retry_after", 0) : 0;
@@ -86,7 +95,7 @@
       reply.answer(HttpResponse.problem(400, e.problem(), 0));
       return null;
     }
-    HttpResponse immediate = answerWithoutAccepting(submitted, requestClass);
+    HttpResponse immediate = answerOrReserve(submitted, requestClass);
     if (immediate != null) {
       reply.answer(immediate);
       return null;
@@ -96,9 +105,9 @@
 
   /**
    * Returns the answer to a request that is not accepted or was accepted before, or null if the
-   * request can be accepted.
+   * request can be accepted. In that case, its memory is reserved.
    */
-  private HttpResponse answerWithoutAccepting(SubmitRequest submitted, int requestClass) {
+  private HttpResponse answerOrReserve(SubmitRequest submitted, int requestClass) {
     if (submitted.timeLimit() > MAX_DEADLINE_FACTOR * classes.longestDeadline()) {
       return HttpResponse.problem(400, "X-Deadline-Ms", 0);
     }
@@ -111,7 +120,7 @@
           ? HttpResponse.continueAt(RESULT_PATH + submitted.id())
           : HttpResponse.problem(409, "Known", 0);
     }
-    if (byId.size() >= maxRequests || retained.isFull()) {
+    if (byId.size() >= maxRequests || !reservations.tryReserve(submitted)) {
       context.warnRateLimited(
           "request limit reached: "
               + byId.size()
@@ -135,9 +144,12 @@
     PendingResponse pending =
         new PendingResponse(
             submitted, requestClass, context.pauses().earliestArrival(context.now()), queue);
-    pending.guard = guard;
+    reservations.assign(pending);
     byId.put(submitted.id(), pending);
-    retained.add(submitted.statement().length);
+    if (guard != null) {
+      pending.guard = guard;
+      unsettledGuarded.add(pending);
+    }
     reply.answer(HttpResponse.continueAt(RESULT_PATH + submitted.id()));
     context.policyEvents().requestArrived(pending);
     return pending;
@@ -210,6 +222,7 @@
       pending.retentionStart = now;
       supersedeWaitingConnection(pending);
       context.policyEvents().clientDisconnected(pending);
+      onSettled(pending);
     }
   }
 
@@ -225,9 +238,9 @@
 
   // ---- answers ----
 
-  /** Answers a request with its result. */
-  void succeed(PendingResponse pending, byte[] rows) {
-    answer(pending, new HttpResponse(200, rows, 0, false));
+  /** Answers a request with the pages of its result. */
+  void succeed(PendingResponse pending, byte[][] pages) {
+    answer(pending, new ResultResponse(pages, false));
   }
 
   /**
@@ -244,27 +257,45 @@
     answer(pending, HttpResponse.problem(500, "Error", 0));
   }
 
-  private void answer(PendingResponse pending, HttpResponse answer) {
+  private void answer(PendingResponse pending, ClientAnswer answer) {
     if (pending.isSettled()) {
       return;
     }
     pending.answer = answer;
     context.invariants().answerReady(pending);
-    retained.add(answer.body().length);
+    onSettled(pending);
     if (pending.waitingConnection != null) {
       deliver(pending, pending.waitingConnection);
       pending.waitingConnection = null;
     }
   }
 
+  private void onSettled(PendingResponse pending) {
+    unsettledGuarded.remove(pending);
+    reservations.update(pending);
+  }
+
+  /** Sends the answer to a client. */
+  private static void deliver(PendingResponse pending, ClientConnection client) {
+    pending.delivered = true;
+    pending.activeDeliveries++;
+    client.deliver(pending);
+  }
+
   /**
-   * Sends the answer to a client. The answer is retained for a while, because a client whose
-   * connection breaks fetches it again.
+   * Called when an answer was written, or its connection has ended. The answer is retained for a
+   * while, because a client whose connection breaks fetches it again.
    */
-  private void deliver(PendingResponse pending, ClientConnection client) {
-    pending.delivered = true;
+  void onDeliveryEnded(PendingResponse pending) {
+    pending.activeDeliveries--;
     pending.retentionStart = context.now();
-    client.answer(pending.answer);
+  }
+
+  // ---- attempts ----
+
+  /** Returns the memory that is reserved for the accepted requests. */
+  RequestReservations reservations() {
+    return reservations;
   }
 
   // ---- time ----
@@ -284,9 +315,9 @@
       }
       if (now >= pending.retentionStart + ANSWER_RETENTION
           && pending.isSettled()
+          && pending.activeDeliveries == 0
           && pending.request.isOver()) {
-        retained.add(-pending.submitted.statement().length);
-        retained.add(pending.answer == null ? 0 : -pending.answer.body().length);
+        release(pending);
         iterator.remove();
       }
     }
@@ -295,6 +326,14 @@
         .removeIf(queue -> queue.firstUnfinished() == null && now >= queue.cooldownUntil);
   }
 
+  /** Releases what is held for a request that is removed. */
+  private void release(PendingResponse pending) {
+    reservations.release(pending);
+    if (pending.request.keyQueue != null) {
+      pending.request.keyQueue.requests.remove(pending.request);
+    }
+  }
+
   /** Stops accepting requests. */
   void close() {
     closed = true;
@@ -319,6 +358,11 @@
     return byId.values().stream().allMatch(pending -> pending.cancelled || pending.delivered);
   }
 
+  /** Returns the requests with a guard that are neither answered nor cancelled. */
+  List<PendingResponse> unsettledGuarded() {
+    return List.copyOf(unsettledGuarded);
+  }
+
   /** Returns the requests that are neither answered nor cancelled. */
   List<PendingResponse> unanswered() {
     List<PendingResponse> unanswered = new ArrayList<>(byId.values());
--- a/gateway/src/main/java/tillerlink/net/wire/ByteAccumulator.java
+++ b/gateway/src/main/java/tillerlink/net/wire/ByteAccumulator.java
@@ -48,6 +48,11 @@
     return tail - head;
   }
 
+  /** Returns the number of bytes of memory that the queue takes. */
+  int capacity() {
+    return buffer.length;
+  }
+
   byte at(int index) {
     return buffer[head + index];
   }
--- a/gateway/src/main/java/tillerlink/net/wire/HttpRequestParser.java
+++ b/gateway/src/main/java/tillerlink/net/wire/HttpRequestParser.java
@@ -70,6 +70,11 @@
     return bytes.size();
   }
 
+  /** Returns the number of bytes of memory that the bytes not yet consumed take. */
+  public int retainedBytes() {
+    return bytes.capacity();
+  }
+
   /** Returns whether a request was received in part. */
   public boolean hasPartialRequest() {
     return !failed && (head != null || bytes.size() > 0);
--- a/gateway/src/main/java/tillerlink/net/wire/HttpResponse.java
+++ b/gateway/src/main/java/tillerlink/net/wire/HttpResponse.java
@@ -13,7 +13,9 @@
  * @param type the media type of the body
  */
 public record HttpResponse(
-    int status, byte[] body, long retryAfter, boolean closesConnection, String type) {
+    int status, byte[] body, long retryAfter, boolean closesConnection, String type)
+    implements ClientAnswer {
+  static final byte[] NO_CONTENT = new byte[0];
   private static final String JSON = "application/json";
   private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
   private static final String VERSION = "HTTP/1.1 ";
@@ -66,13 +68,32 @@
     return new HttpResponse(status, body.getBytes(StandardCharsets.UTF_8), retryAfter, false);
   }
 
-  /** Returns a copy of this response after which the connection is closed. */
+  @Override
   public HttpResponse closingConnection() {
     return new HttpResponse(status, body, retryAfter, true, type);
   }
 
   /** Encodes the response as sent on the wire. */
   public byte[] encode() {
+    return ByteAccumulator.concat(encodeHead(body.length), body);
+  }
+
+  @Override
+  public ResponseWriter writer() {
+    return new ResponseWriter(encodeHead(body.length), new FixedContent(body));
+  }
+
+  @Override
+  public int retainedBytes() {
+    return body.length;
+  }
+
+  /**
+   * Encodes the status line and the header fields.
+   *
+   * @param contentLength the length of the content that follows, in bytes
+   */
+  byte[] encodeHead(int contentLength) {
     StringBuilder head =
         new StringBuilder(160)
             .append(VERSION)
@@ -82,19 +103,39 @@
             .append(CONTENT_TYPE)
             .append(type)
             .append(CONTENT_LENGTH)
-            .append(body.length);
+            .append(contentLength);
     if (retryAfter > 0) {
       head.append(RETRY_AFTER).append(retryAfter);
     }
     if (closesConnection) {
       head.append(CLOSE);
     }
-    byte[] encodedHead = head.append(END_OF_HEAD).toString().getBytes(StandardCharsets.US_ASCII);
-    return ByteAccumulator.concat(encodedHead, body);
+    return head.append(END_OF_HEAD).toString().getBytes(StandardCharsets.US_ASCII);
   }
 
   /** Returns the interim response 100 Continue, which a client may await before it sends a body. */
   public static byte[] continueResponse() {
     return CONTINUE.getBytes(StandardCharsets.US_ASCII);
   }
+
+  /** Content that is held in its encoded form. */
+  private static final class FixedContent implements ResponseWriter.ContentReader {
+    private final byte[] bytes;
+    private int position;
+
+    FixedContent(byte[] bytes) {
+      this.bytes = bytes;
+    }
+
+    @Override
+    public int remaining() {
+      return bytes.length - position;
+    }
+
+    @Override
+    public void read(byte[] target, int start, int count) {
+      System.arraycopy(bytes, position, target, start, count);
+      position += count;
+    }
+  }
 }
--- a/gateway/src/main/java/tillerlink/policy/AdmissionController.java
+++ b/gateway/src/main/java/tillerlink/policy/AdmissionController.java
@@ -170,6 +170,8 @@
     if (rejected) {
       request.setRetryAfter(config.retryAfter);
     }
+    queues.remove(request);
+    timers.cancel(request);
     reconciler.markChanged(request);
     reconciler.cancelAll(request);
     ordering.advance(now, request);
--- a/gateway/src/main/java/tillerlink/policy/DefaultDispatchPolicy.java
+++ b/gateway/src/main/java/tillerlink/policy/DefaultDispatchPolicy.java
@@ -231,6 +231,8 @@
     if (request.outcome == null) {
       request.outcome = outcome;
       request.setNotified(true);
+      queues.remove(request);
+      timers.cancel(request);
       reconciler.cancelAll(request);
     }
   }
--- a/gateway/src/main/java/tillerlink/policy/RequestQueues.java
+++ b/gateway/src/main/java/tillerlink/policy/RequestQueues.java
@@ -49,11 +49,11 @@
    * @return whether it was queued
    */
   boolean remove(Request request) {
-    if (!request.requestClass.queue.remove(request)) {
+    if (!request.isQueued()) {
       return false;
     }
     request.setQueued(false);
-    return true;
+    return request.requestClass.queue.remove(request);
   }
 
   /** Removes the first request from the queue of a class. */
--- a/gateway/src/main/java/tillerlink/port/SendVerdict.java
+++ b/gateway/src/main/java/tillerlink/port/SendVerdict.java
@@ -29,6 +29,8 @@
   RETRY_BUDGET,
   /** The state shared between gateways does not allow the attempt now. */
   SHARED_STATE,
+  /** There is no memory for the result of another attempt of the request at the same time. */
+  OUT_OF_MEMORY,
   /** The attempt could not be written soon enough after the decision to send it. */
   WRITE_DELAYED
 }
--- a/gateway/src/test/java/tillerlink/WireTest.java
+++ b/gateway/src/test/java/tillerlink/WireTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -15,6 +16,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import tillerlink.model.Engine.Status;
+import tillerlink.net.wire.ClientAnswer;
 import tillerlink.net.wire.Dns;
 import tillerlink.net.wire.EndpointEntry;
 import tillerlink.net.wire.EndpointWatchEvent;
@@ -27,7 +29,8 @@
 import tillerlink.net.wire.HttpRequestParser;
 import tillerlink.net.wire.HttpResponse;
 import tillerlink.net.wire.MalformedProtocolException;
-import tillerlink.net.wire.ResultEncoder;
+import tillerlink.net.wire.ResponseWriter;
+import tillerlink.net.wire.ResultResponse;
 import tillerlink.net.wire.StatementTableScanner;
 import tillerlink.net.wire.SubmitRequest;
 
@@ -213,12 +216,45 @@
           .append(parse(WireTest::engine, bytes(malformed)));
     }
     printed.append(
-        text(
-            ResultEncoder.answer(
-                new byte[][] {bytes("a\t1\tq\"\\\u0002\nb\t\tz\n"), {}, bytes("c\t2\té\n")})));
+        contentOf(
+            new ResultResponse(
+                new byte[][] {bytes("a\t1\tq\"\\\u0002\nb\t\tz\n"), {}, bytes("c\t2\té\n")},
+                false)));
     KeptTraces.assertMatches("net-engine", printed.append('\n').toString());
   }
 
+  /**
+   * Guards the heap: the encoded form of a result, which may be six times as long as the result, is
+   * made in pieces of bounded length. Together they are the whole answer.
+   */
+  @Test
+  void resultIsEncodedInPiecesOfBoundedLength() {
+    byte[] page = bytes("\u0001\"\t\\\té\n".repeat(700));
+    String row = "[\"\\u0001\\\"\",\"\\\\\",\"é\"]";
+    String expected = "{\"records\":[" + ("," + row).repeat(7 * 700).substring(1) + "]}";
+    assertEquals(
+        expected,
+        contentOf(
+            new ResultResponse(new byte[][] {page, page, page, page, page, page, page}, true)));
+  }
+
+  /**
+   * Returns the content of an answer, after a check of its head and of the length of its pieces.
+   */
+  private static String contentOf(ClientAnswer answer) {
+    ByteArrayOutputStream sent = new ByteArrayOutputStream();
+    for (ResponseWriter writer = answer.writer(); !writer.isComplete(); ) {
+      byte[] piece = writer.next();
+      assertTrue(piece.length > 0 && piece.length <= 16_384, "piece of " + piece.length + " bytes");
+      sent.writeBytes(piece);
+    }
+    String[] headAndContent = text(sent.toByteArray()).split("\r\n\r\n", 2);
+    assertTrue(
+        headAndContent[0].contains("Content-Length: " + bytes(headAndContent[1]).length),
+        headAndContent[0]);
+    return headAndContent[1];
+  }
+
   @Test
   void statementsHaveTheGroupOfTheirTables() {
     StringBuilder printed = new StringBuilder();
--- a/gateway/src/test/java/tillerlink/net/lifecycle/FakeEngine.java
+++ b/gateway/src/test/java/tillerlink/net/lifecycle/FakeEngine.java
@@ -10,7 +10,7 @@
 import tillerlink.net.lifecycle.Loopback.Peer;
 
 /**
- * A fake engine that responds to each attempt immediately with an empty result and records when
+ * A fake engine that responds to each attempt immediately with the same result and records when
  * attempts arrived.
  */
 final class FakeEngine implements Closeable {
@@ -25,8 +25,25 @@
   record Attempt(long receivedAt, long limitMs) {}
 
   private final List<Attempt> attempts = new ArrayList<>();
+  private final List<IoTask> heldResponses = new ArrayList<>();
+  private boolean holdsResponses;
+  private final String page;
+  private final int pages;
 
+  /** Creates an engine whose results are empty. */
   FakeEngine() throws IOException {
+    this("", 1);
+  }
+
+  /**
+   * Creates an engine.
+   *
+   * @param page the text of each page of a result
+   * @param pages the number of pages of a result
+   */
+  FakeEngine(String page, int pages) throws IOException {
+    this.page = page;
+    this.pages = pages;
     runInBackground(
         () -> {
           while (true) {
@@ -50,13 +67,45 @@
           attempts.add(new Attempt(System.nanoTime(), limit));
         }
         peer.readLine();
-        peer.send(words[1] + " ok count=1 0\r\n\r\n");
+        String response = words[1] + " ok count=" + pages + " " + page.length() + "\r\n" + page;
+        respond(() -> peer.send(response + "\r\n"));
+      } else if (words[0].equals("turn")) {
+        peer.send(
+            words[1] + " batch pos=" + words[2] + " " + page.length() + "\r\n" + page + "\r\n");
       } else if (words[0].equals("there")) {
         peer.send(words[1] + " yes - 0\r\n\r\n");
       }
     }
   }
 
+  private void respond(IoTask response) throws IOException {
+    synchronized (heldResponses) {
+      if (holdsResponses) {
+        heldResponses.add(response);
+        return;
+      }
+    }
+    response.run();
+  }
+
+  /** Holds the responses to attempts until {@link #releaseResponses} is called. */
+  void holdResponses() {
+    synchronized (heldResponses) {
+      holdsResponses = true;
+    }
+  }
+
+  /** Sends the responses that were held, and no longer holds any. */
+  void releaseResponses() throws IOException {
+    synchronized (heldResponses) {
+      holdsResponses = false;
+      for (IoTask response : heldResponses) {
+        response.run();
+      }
+      heldResponses.clear();
+    }
+  }
+
   /** Returns the attempts received so far, in order. */
   List<Attempt> attempts() {
     synchronized (attempts) {
--- a/gateway/src/test/java/tillerlink/net/lifecycle/ProcessTest.java
+++ b/gateway/src/test/java/tillerlink/net/lifecycle/ProcessTest.java
@@ -39,8 +39,8 @@
 
   @TempDir private Path folder;
   private ServerSocket engines;
+  private GatewayProcess gateway;
   private Process process;
-  private int port;
 
   @BeforeEach
   void engine() throws IOException {
@@ -56,59 +56,25 @@
    * @param wrapper the command, with its arguments, that runs the process; empty to run it directly
    */
   private void start(File log, int descriptors, String... wrapper) throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, LOCALHOST)) {
-      port = free.getLocalPort();
-    }
-    String entry =
-        "{\"name\":\"e1\",\"address\":\"127.0.0.1:"
-            + engines.getLocalPort()
-            + "\",\"zone\":\"east\",\"type\":\"std\",\"status\":\"SERVING\"}";
-    String requestClass =
-        "{\"name\":\"look\",\"semantics\":\"repeatable\",\"group\":\"all\",\"aim_us\":2000000,\"hard_limit_us\":9000000,"
-            + "\"worth\":1,\"late_worth\":0.5}";
-    Path file =
-        Files.writeString(
-            folder.resolve("configuration.json"),
-            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:"
-                + port
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
-                + descriptors
-                + "},\"resolver\":\"127.0.0.1:9\",\"known\":{\"index\":1,"
-                + "\"updates\":[{\"index\":1,\"endpoints\":{\"snapshot\":true,\"endpoints\":["
-                + entry
-                + "]}}]},\"settings\":{"
-                + "\"tick_us\":5000,\"caps\":{\"max_attempts\":2,\"streams_per_conn\":8,\"connect_timeout_us\":5000000,\"may_cancel\":true},"
-                + "\"models\":[\"std\"],\"zones\":[\"east\"],\"guarantees\":{\"drain_grace_us\":400000},"
-                + "\"family_info\":{\"kind_cores\":[8],\"tells_every_us\":9000000},\"profiles\":["
-                + requestClass
-                + "]}}");
-    List<String> command = new ArrayList<>(List.of(wrapper));
-    command.addAll(
-        List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx64m",
-            "-XX:+UseSerialGC",
-            "-cp",
-            System.getProperty("java.class.path"),
-            "tillerlink.Main",
-            "serve"));
-    ProcessBuilder builder = new ProcessBuilder(command);
-    builder.environment().put("EDGE_CONFIG", file.toString());
-    process = builder.redirectError(log).start();
-    Loopback.await(
-        () -> {
-          try (Socket socket = new Socket(LOCALHOST, port)) {
-            return socket.isConnected();
-          } catch (IOException e) {
-            return false;
-          }
-        },
-        "the gateway does not listen");
+    gateway =
+        new GatewayProcess(folder)
+            .engine("e1", engines.getLocalPort())
+            .descriptors(descriptors)
+            .aimMs(2000)
+            .maxAttempts(2)
+            .connectTimeoutMs(5000)
+            .drainGraceMs(400)
+            .engineCores(8)
+            .log(log)
+            .wrapper(wrapper)
+            .start()
+            .awaitListening();
+    process = gateway.process();
   }
 
   @AfterEach
   void end() throws IOException {
-    process.destroyForcibly();
+    gateway.close();
     engines.close();
   }
 
@@ -155,8 +121,7 @@
     awaitAttempt(waitingClient);
     long terminatedAt = System.nanoTime();
     process.destroy();
-    assertEquals(
-        0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    gateway.signal("HUP");
     process.destroy();
     waitingClient.expectBody(REFUSED);
     long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - terminatedAt);
@@ -217,10 +182,7 @@
   }
 
   private Peer client() throws IOException {
-    Socket socket = new Socket(LOCALHOST, port);
-    socket.setTcpNoDelay(true);
-    socket.setSoTimeout(Loopback.TIMEOUT_MS);
-    return new Peer(socket);
+    return gateway.client();
   }
 
   /**
--- a/gateway/src/test/java/tillerlink/net/lifecycle/StaleListTest.java
+++ b/gateway/src/test/java/tillerlink/net/lifecycle/StaleListTest.java
@@ -4,11 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -55,14 +51,11 @@
   /** The time within which a client must send its first request after it connected. */
   private static final long FIRST_REQUEST_MS = 2500;
 
-  private static final InetAddress LOCALHOST = InetAddress.getLoopbackAddress();
-
   @TempDir private Path folder;
   private FakeNameService discoveryService;
   private FakeEngine draining;
   private FakeEngine staying;
-  private Process process;
-  private int port;
+  private GatewayProcess gateway;
   private int lastId;
 
   @BeforeEach
@@ -76,7 +69,7 @@
 
   @AfterEach
   void end() throws IOException {
-    process.destroyForcibly();
+    gateway.close();
     discoveryService.close();
     draining.close();
     staying.close();
@@ -91,11 +84,11 @@
   void drainDuringASlowStartIsHonoured() throws Exception {
     discoveryService.delayAnswers(300);
     start();
-    process.errorReader(StandardCharsets.UTF_8).readLine();
-    signal("STOP");
+    gateway.process().errorReader(StandardCharsets.UTF_8).readLine();
+    gateway.signal("STOP");
     discoveryService.beginDrain(DRAINING_ENGINE);
     Thread.sleep(PAST_THE_GRACE_MS);
-    signal("CONT");
+    gateway.signal("CONT");
     awaitListening();
     burst(40);
     assertDrainHonoured(40);
@@ -111,14 +104,14 @@
     start();
     awaitListening();
     burst(10);
-    signal("STOP");
+    gateway.signal("STOP");
     discoveryService.beginDrain(DRAINING_ENGINE);
     Thread.sleep(PAST_THE_GRACE_MS);
     List<Peer> waiting = clients(40);
     for (Peer client : waiting) {
       post(client);
     }
-    signal("CONT");
+    gateway.signal("CONT");
     for (Peer client : waiting) {
       fetch(client);
     }
@@ -136,12 +129,12 @@
     burst(10);
     List<Peer> waiting = clients(40);
     awaitAccepted();
-    signal("STOP");
+    gateway.signal("STOP");
     for (Peer client : waiting) {
       post(client);
     }
     Thread.sleep(FIRST_REQUEST_MS + 200);
-    signal("CONT");
+    gateway.signal("CONT");
     for (Peer client : waiting) {
       fetch(client);
     }
@@ -158,13 +151,13 @@
     burst(10);
     List<Peer> waiting = clients(20);
     awaitAccepted();
-    signal("STOP");
+    gateway.signal("STOP");
     long postedAt = System.nanoTime();
     for (Peer client : waiting) {
       post(client);
     }
     Thread.sleep(2000);
-    signal("CONT");
+    gateway.signal("CONT");
     for (Peer client : waiting) {
       fetch(client);
     }
@@ -230,64 +223,19 @@
   }
 
   private void start() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, LOCALHOST)) {
-      port = free.getLocalPort();
-    }
-    String requestClass =
-        "{\"name\":\"look\",\"semantics\":\"repeatable\",\"group\":\"all\",\"aim_us\":8000000,\"hard_limit_us\":9000000,"
-            + "\"worth\":1,\"late_worth\":0.5}";
-    Path file =
-        Files.writeString(
-            folder.resolve("configuration.json"),
-            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:"
-                + port
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"resolver\":\"127.0.0.1:"
-                + discoveryService.port()
-                + "\",\"known\":{\"index\":1,\"updates\":[{\"index\":1,\"endpoints\":{\"snapshot\":true,\"endpoints\":["
-                + endpointJson(DRAINING_ENGINE, draining)
-                + ","
-                + endpointJson(STAYING_ENGINE, staying)
-                + "]}}]},\"settings\":{\"tick_us\":5000,"
-                + "\"caps\":{\"max_attempts\":3,\"streams_per_conn\":8,\"connect_timeout_us\":1000000,\"may_cancel\":true},"
-                + "\"models\":[\"std\"],\"zones\":[\"east\"],\"guarantees\":{\"drain_grace_us\":"
-                + GRACE_MS * 1000
-                + "},"
-                + "\"family_info\":{\"kind_cores\":[64],\"tells_every_us\":9000000},\"profiles\":["
-                + requestClass
-                + "]}}");
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx64m",
-            "-XX:+UseSerialGC",
-            "-cp",
-            System.getProperty("java.class.path"),
-            "tillerlink.Main",
-            "serve");
-    builder.environment().put("EDGE_CONFIG", file.toString());
-    process = builder.start();
-  }
-
-  private static String endpointJson(String name, FakeEngine engine) {
-    return "{\"name\":\""
-        + name
-        + "\",\"address\":\"127.0.0.1:"
-        + engine.port()
-        + "\",\"zone\":\"east\",\"type\":\"std\",\"status\":\"SERVING\"}";
+    gateway =
+        new GatewayProcess(folder)
+            .engine(DRAINING_ENGINE, draining.port())
+            .engine(STAYING_ENGINE, staying.port())
+            .discovery(discoveryService)
+            .drainGraceMs((int) GRACE_MS)
+            .start();
   }
 
   /** Waits until the gateway listens, then copies its log to standard output. */
   private void awaitListening() {
-    Loopback.await(
-        () -> {
-          try (Socket socket = new Socket(LOCALHOST, port)) {
-            return socket.isConnected();
-          } catch (IOException e) {
-            return false;
-          }
-        },
-        "the gateway does not listen");
-    FakeEngine.runInBackground(() -> process.getErrorStream().transferTo(System.out));
+    gateway.awaitListening();
+    FakeEngine.runInBackground(() -> gateway.process().getErrorStream().transferTo(System.out));
   }
 
   /**
@@ -301,12 +249,6 @@
     last.close();
   }
 
-  /** Sends a signal to the gateway. */
-  private void signal(String name) throws Exception {
-    assertEquals(
-        0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
-  }
-
   /** Sends this many requests at once and waits for all results. */
   private void burst(int requests) throws IOException {
     List<Peer> clients = clients(requests);
@@ -321,10 +263,7 @@
   private List<Peer> clients(int count) throws IOException {
     List<Peer> clients = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      Socket socket = new Socket(LOCALHOST, port);
-      socket.setTcpNoDelay(true);
-      socket.setSoTimeout(Loopback.TIMEOUT_MS);
-      clients.add(new Peer(socket));
+      clients.add(gateway.client());
     }
     return clients;
   }
--- a/http2/src/main/java/tillerlink/net/http2/ResultReceiver.java
+++ b/http2/src/main/java/tillerlink/net/http2/ResultReceiver.java
@@ -9,7 +9,6 @@
  * Owned by the event-loop thread.
  */
 final class ResultReceiver {
-  private static final int MAX_RESULT_BYTES = 48_000;
 
   private final EngineTransport.Owner owner;
   private final EngineAddress engineAddress;
@@ -66,12 +65,11 @@
       return null;
     }
     InFlightAttempt inFlight = stream.inFlight;
-    if (inFlight.resultSize() + body.bytes().length > MAX_RESULT_BYTES) {
+    if (!inFlight.hasRoomFor(body.bytes().length)) {
       owner.warnRateLimited("result from engine " + engineAddress.id + " is too long");
       return StreamTermination.GARBLED;
     }
     inFlight.appendResult(body.bytes());
-    owner.retainedBytesChanged(body.bytes().length);
     return body.endStream() ? StreamTermination.COMPLETED : null;
   }
 }
