Begin no attempt for a client that has gone, whichever of its requests it is for

Cause: ClientConnection.submitted held the request that came last on a connection and parse() overwrote it, so onClosed told the policy of that one alone; requests submitted by an extension had no connection at all. Change: AttendedRequests holds all requests whose client is expected at a connection (told the path or polled there, by any front); when it ends, closed, half closed or reset, all are unattended. An attempt waits until its own client's input is read (AttemptsAwaitingInput, 0.1 s at most, then it is not sent), also after a dial. While a connection is not read its requests are unattended. Time-outs of client connections are a class of their own (ClientTimeouts); the end of an engine connection is recorded by its transport. Tests: ClientDepartureTest (close, half close, reset, DELETE; 1 to 7 requests; behind unread bytes; during a dial), GatewayExtensionTest.

--- a/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
+++ b/gateway/src/main/java/tillerlink/net/io/MinaDriver.java
@@ -220,6 +220,10 @@
 
     private volatile IoSession session;
     private volatile boolean paused;
+    private volatile boolean readSuspended;
+
+    /** The last read pass whose read filled the buffer, so that more bytes may have waited. */
+    private volatile long fullReadPass = -1;
 
     /** The result of the last write, or null if nothing was written. */
     private WriteFuture lastWrite;
@@ -250,8 +254,18 @@
       updateReadSuspension();
     }
 
-    /** Posts bytes that were read to the event-loop thread. Called on MINA's thread. */
-    private void postBytes(byte[] bytes) {
+    @Override
+    public boolean mayHaveUnreadInput() {
+      return readSuspended || processor.completedReadPasses() <= fullReadPass;
+    }
+
+    /**
+     * Posts bytes that were read to the event-loop thread. Called on MINA's thread.
+     *
+     * @param bufferFilled whether the read filled its buffer
+     */
+    private void postBytes(byte[] bytes, boolean bufferFilled) {
+      fullReadPass = bufferFilled ? processor.currentReadPass() : -1;
       unprocessedReads.incrementAndGet();
       updateReadSuspension();
       queue.add(
@@ -272,6 +286,7 @@
       processor.runOnProcessorThread(
           () -> {
             boolean suspend = paused || unprocessedReads.get() >= MAX_UNPROCESSED_READS;
+            readSuspended = suspend;
             if (suspend && !session.isReadSuspended()) {
               session.suspendRead();
             } else if (!suspend && session.isReadSuspended()) {
@@ -328,7 +343,9 @@
 
     @Override
     public void messageReceived(IoSession session, Object message) {
-      channel(session).postBytes(copy(message));
+      IoBuffer buffer = (IoBuffer) message;
+      boolean bufferFilled = buffer.limit() == buffer.capacity();
+      channel(session).postBytes(copy(buffer), bufferFilled);
     }
 
     @Override
--- a/gateway/src/main/java/tillerlink/net/io/ReadProcessor.java
+++ b/gateway/src/main/java/tillerlink/net/io/ReadProcessor.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
@@ -27,6 +28,9 @@
   /** The callbacks to run once the connections found by the current selection have been read. */
   private List<Runnable> readPassCallbacks = List.of();
 
+  /** The number of the read pass that is in progress, counted from 1. */
+  private final AtomicLong currentReadPass = new AtomicLong();
+
   private volatile Thread thread;
   private final LongSupplier clock;
 
@@ -68,6 +72,19 @@
     return written;
   }
 
+  /** Returns the number of the read pass that is in progress. For the processor's thread. */
+  long currentReadPass() {
+    return currentReadPass.get();
+  }
+
+  /**
+   * Returns the number of read passes that are complete. A pass reads each connection that was
+   * readable at its beginning once, unless reading from it is suspended.
+   */
+  long completedReadPasses() {
+    return currentReadPass.get() - 1;
+  }
+
   /** Runs a task on the processor's thread: at once if called on that thread, otherwise soon. */
   void runOnProcessorThread(Runnable task) {
     if (Thread.currentThread() == thread) {
@@ -108,6 +125,7 @@
   @Override
   protected int select(long timeout) throws Exception {
     thread = Thread.currentThread();
+    currentReadPass.incrementAndGet();
     for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
       task.run();
     }
--- a/gateway/src/main/java/tillerlink/net/state/ActionExecutor.java
+++ b/gateway/src/main/java/tillerlink/net/state/ActionExecutor.java
@@ -17,15 +17,20 @@
   private final GatewayContext context;
   private final RequestRegistry requests;
   private final EngineTransportOwner transports;
+  private final AttemptsAwaitingInput awaitingInput;
 
   /** The attempts that the policy has ordered in the current iteration. */
   private List<InFlightAttempt> orderedAttempts = new ArrayList<>();
 
   ActionExecutor(
-      GatewayContext context, RequestRegistry requests, EngineTransportOwner transports) {
+      GatewayContext context,
+      RequestRegistry requests,
+      EngineTransportOwner transports,
+      AttemptsAwaitingInput awaitingInput) {
     this.context = context;
     this.requests = requests;
     this.transports = transports;
+    this.awaitingInput = awaitingInput;
   }
 
   @Override
@@ -53,6 +58,7 @@
       orderedAttempts = new ArrayList<>();
       context.driver().runAfterPendingReads(() -> batch.forEach(this::start));
     }
+    awaitingInput.retryReady();
   }
 
   /**
@@ -65,6 +71,10 @@
       return;
     }
     SendVerdict verdict = inFlight.checkSend();
+    if (verdict == SendVerdict.CLIENT_INPUT_UNREAD
+        && awaitingInput.add(inFlight, () -> start(inFlight))) {
+      return;
+    }
     if (verdict == SendVerdict.ALLOWED && !requests.reservations().tryReserve(inFlight)) {
       verdict = SendVerdict.OUT_OF_MEMORY;
     }
--- a/gateway/src/main/java/tillerlink/net/state/Channel.java
+++ b/gateway/src/main/java/tillerlink/net/state/Channel.java
@@ -33,6 +33,14 @@
   /** Pauses or resumes reading from this connection. */
   void pauseReading(boolean paused);
 
+  /**
+   * Returns whether bytes that the peer has sent, or its close of the connection, may wait to be
+   * read. A channel that passes on everything at once returns false.
+   */
+  default boolean mayHaveUnreadInput() {
+    return false;
+  }
+
   /** Receives the events of a channel, always on the event-loop thread. */
   interface Owner {
     /** Called when the connection has been established. */
--- a/gateway/src/main/java/tillerlink/net/state/ClientConnection.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientConnection.java
@@ -3,12 +3,10 @@
 import tillerlink.net.wire.ClientAnswer;
 import tillerlink.net.wire.HttpParseResult;
 import tillerlink.net.wire.HttpResponse;
-import tillerlink.plain.Units;
 
 /**
  * A client's HTTP connection. It processes one request at a time: the next request is parsed only
- * after the answer to the previous one has been written. Confined to the event-loop thread; all
- * times are tenths of a millisecond.
+ * after the answer to the previous one has been written. Confined to the event-loop thread.
  */
 final class ClientConnection implements Channel.Owner {
   /** How a connection has been used so far, in the order in which connections are evicted. */
@@ -23,36 +21,17 @@
     OPEN
   }
 
-  /**
-   * The time in which a client has to send a complete request: the first one counted from the
-   * connect, a later one from its first byte.
-   */
-  private static final long REQUEST_READ_TIMEOUT = 2500 * Units.TENTHS_PER_MS;
-
-  /** Clients close connections that have been idle for 4 s, so 5 s gives them time to do so. */
-  private static final long IDLE_TIMEOUT = 5000 * Units.TENTHS_PER_MS;
-
-  /**
-   * The time after the last activity during which a connection is not evicted at the connection
-   * limit, because the first bytes that its client has sent may still be waiting to be read.
-   */
-  private static final long EVICTION_GRACE_PERIOD = 100 * Units.TENTHS_PER_MS;
-
-  /** How long a write may stay unfinished before the connection is aborted. */
-  private static final long WRITE_STALL_TIMEOUT = 5000 * Units.TENTHS_PER_MS;
-
   /** The memory that a connection takes apart from its input and its output. */
   private static final int OVERHEAD_BYTES = 4096;
 
-  /** How long input is discarded after a refusal, since an early close could lose the answer. */
-  private static final long DISCARD_PERIOD = 1000 * Units.TENTHS_PER_MS;
-
   private final ClientRequestHandler handler;
   private final RequestRegistry requests;
   private final RetainedBytes retained;
   private final Channel channel;
   private final ClientInput input;
   private final ClientOutput output;
+  private final AttendedRequests attended;
+  private final ClientTimeouts timeouts;
   private boolean requestInProgress;
 
   /** The answer to the request in progress is the last one on this connection. */
@@ -63,9 +42,6 @@
 
   private boolean closed;
 
-  /** An action that may close the connection is waiting for pending reads to be processed. */
-  private boolean closePending;
-
   /** Why the gateway closed the connection; null if it has not done so. */
   private ClientDisconnectReason localReason;
 
@@ -75,9 +51,6 @@
   /** The number of requests for execution that were accepted on this connection. */
   private int acceptedSubmissions;
 
-  /** The start of the read timeout: the connect, for later requests usually the first byte. */
-  private long requestStartedAt;
-
   /** The request for whose answer the client is waiting, or null. */
   private PendingResponse awaitedResponse;
 
@@ -87,12 +60,9 @@
   /** The request in progress will be answered by the extension, which has not done so yet. */
   private boolean awaitingExtension;
 
-  /** The request for execution that the most recent HTTP request submitted, or null. */
+  /** The request whose acceptance is the answer to the most recent HTTP request, or null. */
   private PendingResponse submitted;
 
-  /** When a request last began to arrive, or an answer was last sent or completely written. */
-  private long lastActivityAt;
-
   ClientConnection(ClientRequestHandler handler, Channel channel) {
     this.handler = handler;
     this.channel = channel;
@@ -100,29 +70,27 @@
     retained = handler.retained();
     input = new ClientInput(channel, retained);
     output = new ClientOutput(channel, retained);
+    attended = new AttendedRequests(this, requests);
     retained.add(OVERHEAD_BYTES);
-    lastActivityAt = handler.now();
-    requestStartedAt = lastActivityAt;
+    timeouts = new ClientTimeouts(handler, this, input, output);
   }
 
   // ---- connection limit ----
 
   Use usage() {
-    boolean open =
-        requestInProgress || output.isPending() || (submitted != null && !submitted.isSettled());
+    boolean open = requestInProgress || output.isPending() || attended.hasUnsettled();
     return open
         ? Use.OPEN
         : !requestReceived ? Use.UNSPOKEN : acceptedSubmissions < 2 ? Use.ONCE : Use.IDLE;
   }
 
   long lastActivityAt() {
-    return lastActivityAt;
+    return timeouts.lastActivityAt();
   }
 
   /** Returns whether it may be evicted: not in use, and its client has had time to send bytes. */
   boolean isEvictable() {
-    return (closed || usage() != Use.OPEN)
-        && handler.now() >= lastActivityAt + EVICTION_GRACE_PERIOD;
+    return (closed || usage() != Use.OPEN) && timeouts.isEvictionGraceOver();
   }
 
   boolean isClosed() {
@@ -143,8 +111,7 @@
       return;
     }
     if (!input.hasPartialRequest()) {
-      lastActivityAt = handler.now();
-      requestStartedAt = requestReceived ? lastActivityAt : requestStartedAt;
+      timeouts.onRequestBegun(requestReceived);
     }
     input.add(bytes);
     parse();
@@ -156,7 +123,7 @@
   @Override
   public void onWritten() {
     output.onWritten();
-    lastActivityAt = handler.now();
+    timeouts.onActivity();
     closeIfLastAnswerPassed();
     if (!output.isPending()) {
       endDelivery();
@@ -164,7 +131,7 @@
         requestInProgress = false;
         parse();
         if (handler.closing()) {
-          closeIfUnused();
+          timeouts.closeIfUnused();
         }
       }
     }
@@ -182,14 +149,15 @@
             localReason == null ? remoteReason : localReason,
             awaitedResponse == null ? submitted : awaitedResponse);
     closed = true;
+    if (submitted != null && submitted.attendant == attended && output.isPending()) {
+      requests.cancel(submitted);
+    }
     if (awaitedResponse != null) {
       awaitedResponse.waitingConnection = null;
-      requests.onConnectionLost(awaitedResponse);
     }
-    if (submitted != null && output.isPending()) {
-      requests.cancel(submitted);
-    } else if (submitted != null) {
-      requests.onConnectionLost(submitted);
+    attended.onConnectionEnded();
+    if (awaitedResponse != null) {
+      requests.onConnectionLost(awaitedResponse);
     }
     endDelivery();
     output.release();
@@ -208,12 +176,24 @@
       if (parsed != null) {
         requestInProgress = true;
         requestReceived = true;
-        requestStartedAt = handler.now();
+        timeouts.onRequestComplete();
         submitted = null;
         handler.handle(this, parsed);
       }
     }
     input.updateReadingPaused(requestInProgress, closed);
+    if (!input.isReadingPaused()) {
+      attended.resume();
+    }
+  }
+
+  /** Returns whether bytes that the client sent, or its close, may wait to be read. */
+  boolean mayHaveUnreadInput() {
+    return input.isReadingPaused() || channel.mayHaveUnreadInput();
+  }
+
+  boolean isReadingPaused() {
+    return input.isReadingPaused();
   }
 
   // ---- the request in progress ----
@@ -223,15 +203,10 @@
     closeAfterAnswer = true;
   }
 
-  /** Called when the request in progress has been accepted for execution. */
-  void onSubmitted(PendingResponse pending) {
-    submitted = pending;
-    acceptedSubmissions++;
-  }
-
   /** Defers the answer to the request in progress until the pending response has an answer. */
   void waitFor(PendingResponse pending) {
     awaitedResponse = pending;
+    attended.add(pending);
   }
 
   /** Aborts it because its client waits on another connection or has cancelled the request. */
@@ -242,11 +217,33 @@
 
   /** Sends the answer to the request in progress. */
   void answer(HttpResponse answer) {
+    PendingResponse announced = requests.findByResultPath(answer.continuePath());
+    if (announced != null) {
+      announce(announced);
+    }
     if (!closed) {
       send(answer, answer.retainedBytes());
     }
   }
 
+  /**
+   * Called before the client is told the path of the result of a request, for the first time or
+   * because it has submitted the request again.
+   */
+  private void announce(PendingResponse pending) {
+    boolean isNew = !pending.pathAnnounced;
+    pending.pathAnnounced = true;
+    if (!closed && !pending.delivered) {
+      attended.add(pending);
+    } else if (isNew) {
+      requests.cancel(pending);
+    }
+    if (isNew) {
+      submitted = pending;
+      acceptedSubmissions++;
+    }
+  }
+
   /**
    * Sends the final answer of a request as the answer to the request in progress. The registry is
    * notified once that has ended.
@@ -271,7 +268,7 @@
 
   private void send(ClientAnswer answer, int retainedBytes) {
     awaitedResponse = null;
-    lastActivityAt = handler.now();
+    timeouts.onActivity();
     sendingLastAnswer = closeAfterAnswer;
     output.send(closeAfterAnswer ? answer.closingConnection() : answer, retainedBytes);
     closeIfLastAnswerPassed();
@@ -288,7 +285,7 @@
    * is discarded for a while, because the client may still be sending.
    */
   void refuse(HttpResponse answer) {
-    lastActivityAt = handler.now();
+    timeouts.onActivity();
     output.send(answer.closingConnection(), answer.retainedBytes());
     closed = true;
     localReason = ClientDisconnectReason.AFTER_REFUSAL;
@@ -335,100 +332,42 @@
         || (!closed && (awaitingExtension || (handler.closing() && input.hasPartialRequest())));
   }
 
-  // ---- time ----
+  // ---- time and the end of the connection ----
 
-  /**
-   * Closes the connection if a timeout has expired. This guards against clients that connect and
-   * send nothing, send only part of a request, send very slowly, stay connected after a request or
-   * do not read answers. No timeout applies while a request waits for its answer.
-   */
+  /** Closes the connection if a timeout has expired; see {@link ClientTimeouts}. */
   void checkTimeouts() {
-    if (closed || output.isPending()) {
-      long limit = closed && !output.isPending() ? DISCARD_PERIOD : WRITE_STALL_TIMEOUT;
-      if (handler.now() >= lastActivityAt + limit) {
-        abort(ClientDisconnectReason.STALLED);
-      }
-    } else if (hasPartialRequest() && handler.now() >= requestStartedAt + REQUEST_READ_TIMEOUT) {
-      afterPendingReads(this::refusePartialRequest);
-    } else if (isIdleTimedOut()) {
-      afterPendingReads(this::closeIfIdle);
-    } else if (handler.closing()) {
-      closeIfUnused();
+    if (input.isReadingPaused()) {
+      attended.suspend();
     }
+    timeouts.check();
   }
 
-  /**
-   * Runs an action that closes the connection, once all input that can be read has been processed.
-   * This prevents a connection from being closed as idle although input has arrived that was not
-   * read yet, for instance because this process was paused.
-   */
-  private void afterPendingReads(Runnable close) {
-    if (!closePending) {
-      closePending = true;
-      handler.afterPendingReads(
-          () -> {
-            closePending = false;
-            if (!closed) {
-              close.run();
-            }
-          });
-    }
+  /** Returns whether a request is in progress: it was received and its answer is not written. */
+  boolean isRequestInProgress() {
+    return requestInProgress;
   }
 
-  private boolean hasPartialRequest() {
-    return !requestInProgress && input.hasPartialRequest();
-  }
-
-  private boolean isIdleTimedOut() {
-    return !requestInProgress
-        && !input.hasPartialRequest()
-        && handler.now()
-            >= lastActivityAt + (requestReceived ? IDLE_TIMEOUT : REQUEST_READ_TIMEOUT);
-  }
-
-  private void closeIfIdle() {
-    if (isIdleTimedOut()) {
-      close(ClientDisconnectReason.IDLE);
-    }
-  }
-
-  private void refusePartialRequest() {
-    if (hasPartialRequest()) {
-      refuse(HttpResponse.problem(408, "Timeout", 0));
-    }
-  }
-
-  /**
-   * Closes the connection if no request is in progress, none has been received in part, and its
-   * client is not expected to fetch a result.
-   */
-  private void closeIfUnused() {
-    if (isUnused()) {
-      afterPendingReads(
-          () -> {
-            if (isUnused()) {
-              close(ClientDisconnectReason.SHUTDOWN);
-            }
-          });
-    }
+  /** Returns whether at least one complete request has been received. */
+  boolean hasReceivedRequest() {
+    return requestReceived;
   }
 
-  private boolean isUnused() {
-    boolean awaitsResult = submitted != null && !submitted.cancelled && !submitted.delivered;
-    return !closed && !requestInProgress && !input.hasPartialRequest() && !awaitsResult;
+  /** Returns whether its client is expected to fetch a result. */
+  boolean awaitsFetch() {
+    return !attended.isEmpty();
   }
 
   /** Closes the connection after the answer to the request in progress, or now if it is unused. */
   void onClosing() {
     closeAfterAnswer |= requestInProgress;
-    closeIfUnused();
+    timeouts.closeIfUnused();
   }
 
   /** Closes the connection without an answer; bytes that still arrive are discarded. */
   void close(ClientDisconnectReason reason) {
     closed = true;
     localReason = reason;
-    lastActivityAt = handler.now();
+    timeouts.onActivity();
     channel.close();
   }
 
--- a/gateway/src/main/java/tillerlink/net/state/ClientInput.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientInput.java
@@ -15,7 +15,8 @@
   /**
    * The number of bytes that may wait behind a request in progress while the limit on retained
    * bytes is exceeded. Reading is paused above it until that request has been answered. While
-   * reading is paused, the gateway does not notice that the client closes the connection.
+   * reading is paused, the gateway does not notice that the client closes the connection, so that
+   * no attempt of its requests begins.
    */
   private static final int MAX_PIPELINED_BYTES_WHEN_FULL = 16_384;
 
@@ -98,6 +99,11 @@
     }
   }
 
+  /** Returns whether reading is paused, so that a close by the client would not be noticed. */
+  boolean isReadingPaused() {
+    return readingPaused;
+  }
+
   /** Stops counting the bytes of this connection as retained, because it has ended. */
   void release() {
     setRetainedByteCount(0);
--- a/gateway/src/main/java/tillerlink/net/state/ClientRequestHandler.java
+++ b/gateway/src/main/java/tillerlink/net/state/ClientRequestHandler.java
@@ -125,10 +125,7 @@
   }
 
   private void handlePost(ClientConnection client, HttpRequest request) {
-    PendingResponse pending = requests.submit(request, null, client::answer);
-    if (pending != null) {
-      client.onSubmitted(pending);
-    }
+    requests.submit(request, null, client::answer);
   }
 
   private void handleDelete(ClientConnection client, String path) {
--- a/gateway/src/main/java/tillerlink/net/state/EngineConnection.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineConnection.java
@@ -1,13 +1,12 @@
 package tillerlink.net.state;
 
+import java.util.List;
 import tillerlink.model.AttemptOutcome;
 import tillerlink.net.wire.EngineCommand;
 import tillerlink.net.wire.EngineResponse;
 import tillerlink.net.wire.EngineResponseParser;
 import tillerlink.plain.Units;
 import tillerlink.port.SendVerdict;
-import tillerlink.telemetry.Counter;
-import tillerlink.telemetry.EventLog.Topic;
 
 /**
  * A connection to an engine over the platform's line protocol, which can carry several attempts at
@@ -97,7 +96,8 @@
     SendVerdict verdict = inFlight.checkWrite();
     if (verdict == SendVerdict.ALLOWED) {
       writeAttempt(inFlight);
-    } else {
+    } else if (verdict != SendVerdict.CLIENT_INPUT_UNREAD
+        || !owner.awaitClientInput(inFlight, () -> startIfCarried(inFlight))) {
       owner.attemptBlocked(inFlight, verdict);
       transport.endUnsent(inFlight, DisconnectReason.WITHDRAWN);
     }
@@ -150,7 +150,15 @@
       return;
     }
     liveness.onOpened(owner.now());
-    attempts.all().forEach(this::start);
+    // A client may have disconnected while the connection was being opened.
+    List<InFlightAttempt> waiting = attempts.copy();
+    owner.runAfterPendingReads(() -> waiting.forEach(this::startIfCarried));
+  }
+
+  private void startIfCarried(InFlightAttempt inFlight) {
+    if (!closed && attempts.get(inFlight.id()) == inFlight) {
+      start(inFlight);
+    }
   }
 
   @Override
@@ -353,8 +361,7 @@
       return;
     }
     closed = true;
-    recordEnd(reason);
-    transport.onConnectionEnded(this);
+    transport.onConnectionEnded(this, reason);
     if (reason == DisconnectReason.CLOSED_BY_US) {
       channel.close();
     } else {
@@ -376,25 +383,4 @@
       owner.attemptEnded(inFlight, reason.outcome(mayHaveRun || inFlight.pages != null));
     }
   }
-
-  private void recordEnd(DisconnectReason reason) {
-    owner.telemetry().metrics().add(Counter.ENGINE_CONNECTIONS_ENDED, reason);
-    if (reason != DisconnectReason.CLOSED_BY_US || !attempts.isEmpty()) {
-      owner
-          .telemetry()
-          .log()
-          .event(
-              owner.now(),
-              Topic.CONNECTION,
-              "engine connection closed",
-              "engine",
-              engineId(),
-              "reason",
-              reason,
-              "attempts",
-              attempts.size(),
-              "opened",
-              liveness.isOpen());
-    }
-  }
 }
--- a/gateway/src/main/java/tillerlink/net/state/EngineTransport.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineTransport.java
@@ -62,6 +62,18 @@
     /** Runs a task at the beginning of the next iteration. */
     void runInNextIteration(Runnable task);
 
+    /** Runs a task once all input that can be read from any connection by now was processed. */
+    void runAfterPendingReads(Runnable task);
+
+    /**
+     * Lets an attempt wait for which {@link InFlightAttempt#checkWrite} returned {@link
+     * SendVerdict#CLIENT_INPUT_UNREAD}.
+     *
+     * @param retry tries to write it again
+     * @return false if it has waited for too long, so that it must not be written
+     */
+    boolean awaitClientInput(InFlightAttempt inFlight, Runnable retry);
+
     /** Returns the counters and the event log. */
     Telemetry telemetry();
 
--- a/gateway/src/main/java/tillerlink/net/state/EngineTransportOwner.java
+++ b/gateway/src/main/java/tillerlink/net/state/EngineTransportOwner.java
@@ -17,6 +17,7 @@
   private final RequestRegistry requests;
   private final FencedRequests fencedRequests;
   private final NetworkSettings networkSettings;
+  private final AttemptsAwaitingInput awaitingInput;
   private final EndpointList endpoints;
   private int openConnections;
 
@@ -31,12 +32,14 @@
       GatewayContext context,
       RequestRegistry requests,
       FencedRequests fencedRequests,
+      AttemptsAwaitingInput awaitingInput,
       NetworkSettings networkSettings,
       Settings policySettings,
       EngineTransport.Factory factory) {
     this.context = context;
     this.requests = requests;
     this.fencedRequests = fencedRequests;
+    this.awaitingInput = awaitingInput;
     this.networkSettings = networkSettings;
     endpoints =
         new EndpointList(
@@ -79,8 +82,18 @@
     context.iteration().runInNextIteration(task);
   }
 
+  @Override
+  public void runAfterPendingReads(Runnable task) {
+    context.driver().runAfterPendingReads(task);
+  }
+
   // ---- attempts ----
 
+  @Override
+  public boolean awaitClientInput(InFlightAttempt inFlight, Runnable retry) {
+    return awaitingInput.add(inFlight, retry);
+  }
+
   @Override
   public long writeDeadline(InFlightAttempt inFlight) {
     return context.policyEvents().writeDeadline(inFlight);
--- a/gateway/src/main/java/tillerlink/net/state/Gateway.java
+++ b/gateway/src/main/java/tillerlink/net/state/Gateway.java
@@ -102,18 +102,21 @@
     fencedRequests = new FencedRequests(context, clients.requests());
     NetworkSettings networkSettings =
         NetworkSettings.of(config, settings, clients.requests().longestDeadline());
+    AttemptsAwaitingInput awaitingInput = new AttemptsAwaitingInput(context.iteration(), driver);
     transports =
         new EngineTransportOwner(
             context,
             clients.requests(),
             fencedRequests,
+            awaitingInput,
             networkSettings,
             settings,
             transportFactory);
     EndpointList endpoints = transports.endpoints();
     DiscoveryClient discoveryClient =
         new DiscoveryClient(driver, config.seed(), now, networkSettings.drainGrace(), telemetry);
-    ActionExecutor actions = new ActionExecutor(context, clients.requests(), transports);
+    ActionExecutor actions =
+        new ActionExecutor(context, clients.requests(), transports, awaitingInput);
     DispatchPolicy policy = factory.create(now, config.seed(), flattened, actions);
     context.policyEvents().setPolicy(policy);
     EndpointListUpdater updater =
--- a/gateway/src/main/java/tillerlink/net/state/GatewayExtension.java
+++ b/gateway/src/main/java/tillerlink/net/state/GatewayExtension.java
@@ -109,7 +109,8 @@
      * twice. If the guard does not hold after a write, the attempt is cancelled and its result is
      * not delivered.
      *
-     * @param reply receives the path of the result, or the reason why the request was not accepted
+     * @param reply receives the path of the result, or the reason why the request was not accepted;
+     *     if its client has disconnected, an accepted request is cancelled at once
      */
     void submit(HttpRequest request, Guard guard, Reply reply);
 
--- a/gateway/src/main/java/tillerlink/net/state/InFlightAttempt.java
+++ b/gateway/src/main/java/tillerlink/net/state/InFlightAttempt.java
@@ -48,6 +48,12 @@
   /** The bytes of memory that are reserved for it beside those of its request. */
   long reservedBytes;
 
+  /**
+   * Until when it waits for input of its client to be read, in tenths of a millisecond; 0 if it
+   * does not have to wait.
+   */
+  long inputAwaitedUntil;
+
   /** Whether the guard of the request was notified that the attempt may be written. */
   boolean startNotified;
 
@@ -139,7 +145,13 @@
    */
   SendVerdict checkSend() {
     refusedByGuard = pending.guard != null && !pending.guard.holds();
-    return refusedByGuard ? SendVerdict.SHARED_STATE : policyCheck.apply(attempt);
+    if (refusedByGuard) {
+      return SendVerdict.SHARED_STATE;
+    }
+    SendVerdict verdict = policyCheck.apply(attempt);
+    return verdict == SendVerdict.ALLOWED && pending.mayHaveUnreadInput()
+        ? SendVerdict.CLIENT_INPUT_UNREAD
+        : verdict;
   }
 
   /**
--- a/gateway/src/main/java/tillerlink/net/state/LineProtocolTransport.java
+++ b/gateway/src/main/java/tillerlink/net/state/LineProtocolTransport.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import tillerlink.model.AttemptOutcome;
 import tillerlink.model.Engine.Status;
+import tillerlink.telemetry.Counter;
+import tillerlink.telemetry.EventLog.Topic;
 
 /**
  * A transport to one engine over the platform's line protocol. Each of its connections carries as
@@ -96,12 +98,34 @@
     }
   }
 
-  /** Removes a connection that has ended. */
-  void onConnectionEnded(EngineConnection connection) {
+  /** Removes a connection that has ended; its attempts have not ended yet. */
+  void onConnectionEnded(EngineConnection connection, DisconnectReason reason) {
+    recordEnd(connection, reason);
     connections.remove(connection);
     owner.connectionCountChanged(-1);
   }
 
+  private void recordEnd(EngineConnection connection, DisconnectReason reason) {
+    owner.telemetry().metrics().add(Counter.ENGINE_CONNECTIONS_ENDED, reason);
+    if (reason != DisconnectReason.CLOSED_BY_US || connection.attemptCount() > 0) {
+      owner
+          .telemetry()
+          .log()
+          .event(
+              owner.now(),
+              Topic.CONNECTION,
+              "engine connection closed",
+              "engine",
+              connection.engineId(),
+              "reason",
+              reason,
+              "attempts",
+              connection.attemptCount(),
+              "opened",
+              !connection.dialing());
+    }
+  }
+
   /** Notifies all connections that a new connection to the engine failed. */
   void onConnectFailed() {
     List.copyOf(connections).forEach(EngineConnection::onEngineUnreachable);
--- a/gateway/src/main/java/tillerlink/net/state/PendingResponse.java
+++ b/gateway/src/main/java/tillerlink/net/state/PendingResponse.java
@@ -25,6 +25,12 @@
   /** The client connection that waits for the answer, or null. */
   ClientConnection waitingConnection;
 
+  /** The connection at which its client is expected, or null if there is none. */
+  AttendedRequests attendant;
+
+  /** A client connection was told the path of the result. */
+  boolean pathAnnounced;
+
   /**
    * The final answer, or null. It is retained for a while because a client whose connection broke
    * may fetch it again.
@@ -82,6 +88,22 @@
     return submitted.id();
   }
 
+  /** Records that its client is no longer expected at the connection at which it was. */
+  void leaveAttendant() {
+    if (attendant != null) {
+      attendant.remove(this);
+      attendant = null;
+    }
+  }
+
+  /**
+   * Returns whether input of its client may wait that was not read. It may end with a close of the
+   * connection, so that no attempt may begin.
+   */
+  boolean mayHaveUnreadInput() {
+    return attendant != null && attendant.mayHaveUnreadInput();
+  }
+
   /** Returns whether an attempt of the request is in flight. */
   boolean hasAttemptInFlight() {
     return attempts.stream().anyMatch(inFlight -> inFlight.attempt.isInFlight());
--- a/gateway/src/main/java/tillerlink/net/state/RequestRegistry.java
+++ b/gateway/src/main/java/tillerlink/net/state/RequestRegistry.java
@@ -73,34 +73,32 @@
    *
    * @param guard decides whether attempts of the request may be written; null if they always may
    * @param reply receives the path of the result or the reason
-   * @return null if no new request was accepted
    */
-  PendingResponse submit(
-      HttpRequest request, GatewayExtension.Guard guard, GatewayExtension.Reply reply) {
+  void submit(HttpRequest request, GatewayExtension.Guard guard, GatewayExtension.Reply reply) {
     if (closed) {
       reply.answer(overloaded());
-      return null;
+      return;
     }
     String path = request.path();
     Integer requestClass =
         path.startsWith(SUBMIT_PATH) ? classes.indexOf(path.substring(SUBMIT_PATH.length())) : null;
     if (requestClass == null) {
       reply.answer(HttpResponse.unknown());
-      return null;
+      return;
     }
     SubmitRequest submitted;
     try {
       submitted = SubmitRequest.of(request);
     } catch (MalformedProtocolException e) {
       reply.answer(HttpResponse.problem(400, e.problem(), 0));
-      return null;
+      return;
     }
     HttpResponse immediate = answerOrReserve(submitted, requestClass);
-    if (immediate != null) {
+    if (immediate == null) {
+      accept(submitted, requestClass, guard, reply);
+    } else {
       reply.answer(immediate);
-      return null;
     }
-    return accept(submitted, requestClass, guard, reply);
   }
 
   /**
@@ -132,7 +130,7 @@
     return null;
   }
 
-  private PendingResponse accept(
+  private void accept(
       SubmitRequest submitted,
       int requestClass,
       GatewayExtension.Guard guard,
@@ -150,9 +148,8 @@
       pending.guard = guard;
       unsettledGuarded.add(pending);
     }
-    reply.answer(HttpResponse.continueAt(RESULT_PATH + submitted.id()));
     context.policyEvents().requestArrived(pending);
-    return pending;
+    reply.answer(HttpResponse.continueAt(RESULT_PATH + submitted.id()));
   }
 
   /** Returns the answer to a request for which there is no capacity. */
@@ -166,9 +163,15 @@
 
   // ---- clients ----
 
-  /** Returns the request whose result has the given path, or null. */
+  /**
+   * Returns the request whose result has the given path, or null.
+   *
+   * @param path null for no path
+   */
   PendingResponse findByResultPath(String path) {
-    return path.startsWith(RESULT_PATH) ? byId.get(path.substring(RESULT_PATH.length())) : null;
+    return path != null && path.startsWith(RESULT_PATH)
+        ? byId.get(path.substring(RESULT_PATH.length()))
+        : null;
   }
 
   /**
@@ -185,7 +188,6 @@
       supersedeWaitingConnection(pending);
       pending.waitingConnection = client;
       client.waitFor(pending);
-      context.policyEvents().attendanceChanged(pending, false);
     }
   }
 
@@ -220,18 +222,29 @@
               "after_ms",
               (now - pending.request.arrivedAt) / Units.TENTHS_PER_MS);
       pending.retentionStart = now;
+      pending.leaveAttendant();
       supersedeWaitingConnection(pending);
       context.policyEvents().clientDisconnected(pending);
       onSettled(pending);
     }
   }
 
+  /** Called when the client of a request is expected at a connection, which is read. */
+  void onAttended(PendingResponse pending) {
+    context.policyEvents().attendanceChanged(pending, false);
+  }
+
+  /** Called when the connection at which the client of a request is expected is not read. */
+  void onAttendanceSuspended(PendingResponse pending) {
+    context.policyEvents().attendanceChanged(pending, true);
+  }
+
   /**
-   * Called when the connection has ended on which the client waited for the answer, or on which it
-   * submitted the request and was expected to wait.
+   * Called when a connection has ended on which the client waited for the answer, or at which it
+   * was expected.
    */
   void onConnectionLost(PendingResponse pending) {
-    if (pending.waitingConnection == null) {
+    if (pending.waitingConnection == null && pending.attendant == null) {
       context.policyEvents().attendanceChanged(pending, true);
     }
   }
@@ -278,6 +291,7 @@
   /** Sends the answer to a client. */
   private static void deliver(PendingResponse pending, ClientConnection client) {
     pending.delivered = true;
+    pending.leaveAttendant();
     pending.activeDeliveries++;
     client.deliver(pending);
   }
@@ -329,6 +343,7 @@
   /** Releases what is held for a request that is removed. */
   private void release(PendingResponse pending) {
     reservations.release(pending);
+    pending.leaveAttendant();
     if (pending.request.keyQueue != null) {
       pending.request.keyQueue.requests.remove(pending.request);
     }
--- a/gateway/src/main/java/tillerlink/net/wire/HttpResponse.java
+++ b/gateway/src/main/java/tillerlink/net/wire/HttpResponse.java
@@ -11,9 +11,16 @@
  *     the response does not state one
  * @param closesConnection whether the connection is closed after the response
  * @param type the media type of the body
+ * @param continuePath the path at which the client can fetch its result, as the body states it;
+ *     null if it states none
  */
 public record HttpResponse(
-    int status, byte[] body, long retryAfter, boolean closesConnection, String type)
+    int status,
+    byte[] body,
+    long retryAfter,
+    boolean closesConnection,
+    String type,
+    String continuePath)
     implements ClientAnswer {
   static final byte[] NO_CONTENT = new byte[0];
   private static final String JSON = "application/json";
@@ -29,13 +36,13 @@
 
   /** Creates a response with a JSON body. */
   public HttpResponse(int status, byte[] body, long retryAfter, boolean closesConnection) {
-    this(status, body, retryAfter, closesConnection, JSON);
+    this(status, body, retryAfter, closesConnection, JSON, null);
   }
 
   /** Returns a response with metrics in the Prometheus text format. */
   public static HttpResponse text(String body) {
     return new HttpResponse(
-        HttpStatus.OK, body.getBytes(StandardCharsets.UTF_8), 0, false, PROMETHEUS_TEXT);
+        HttpStatus.OK, body.getBytes(StandardCharsets.UTF_8), 0, false, PROMETHEUS_TEXT, null);
   }
 
   /** Returns a response that reports success without a result. */
@@ -45,7 +52,8 @@
 
   /** Returns a response that states the path at which the client can fetch its result. */
   public static HttpResponse continueAt(String path) {
-    return json(HttpStatus.OK, "{\"continue\":\"" + path + "\"}", 0);
+    byte[] body = ("{\"continue\":\"" + path + "\"}").getBytes(StandardCharsets.UTF_8);
+    return new HttpResponse(HttpStatus.OK, body, 0, false, JSON, path);
   }
 
   /** Returns the response to a request for an unknown resource. */
@@ -70,7 +78,7 @@
 
   @Override
   public HttpResponse closingConnection() {
-    return new HttpResponse(status, body, retryAfter, true, type);
+    return new HttpResponse(status, body, retryAfter, true, type, continuePath);
   }
 
   /** Encodes the response as sent on the wire. */
--- a/gateway/src/main/java/tillerlink/port/SendVerdict.java
+++ b/gateway/src/main/java/tillerlink/port/SendVerdict.java
@@ -8,6 +8,8 @@
   REQUEST_ENDED,
   /** The client is disconnected and has not asked for the answer again. */
   CLIENT_GONE,
+  /** Input of the client was not read yet; it may end with a close of the connection. */
+  CLIENT_INPUT_UNREAD,
   /** The attempt was cancelled before it was written. */
   CANCELLED,
   /** The deadline of the client has passed. */
--- a/gateway/src/test/java/tillerlink/GatewayExtensionTest.java
+++ b/gateway/src/test/java/tillerlink/GatewayExtensionTest.java
@@ -20,8 +20,7 @@
    * An extension that submits requests for /v1/aside/CLASS under a guard, keeps requests for
    * /v1/later until the test answers them, and records the calls that it receives.
    */
-  private static final class RecordingExtension
-      implements GatewayExtension, GatewayExtension.Guard {
+  private static class RecordingExtension implements GatewayExtension, GatewayExtension.Guard {
     private final GatewayExtension.ExtensionContext context;
 
     /** The replies to requests for /v1/later. */
@@ -117,6 +116,9 @@
     }
   }
 
+  /** The submissions that a test makes later than the extension received their requests. */
+  private final List<Runnable> pendingSubmissions = new ArrayList<>();
+
   /** The extension of the gateway in use, created by {@link #withExtension}. */
   private RecordingExtension extension;
 
@@ -162,6 +164,49 @@
         extension.calls.stream().distinct().toList());
   }
 
+  /**
+   * Guards engines against work that nobody waits for: the client of a request that the extension
+   * has submitted disconnects before the attempt is written, or before it is repeated.
+   */
+  @Test
+  void noAttemptBeginsForAClientOfTheExtensionThatHasDisconnected() {
+    withExtension(new GatewayFixture())
+        .post("c1", ID, "aside/look")
+        .clientDisconnects("c1", DisconnectReason.RESET)
+        .engineConnects(0);
+    assertEquals(List.of(), extension.notifications);
+    withExtension(new GatewayFixture())
+        .post("c1", ID, "aside/look")
+        .engineConnects(0)
+        .clientDisconnects("c1", DisconnectReason.CLOSED_BY_PEER)
+        .engineSends(0, ID + " refused - 0||")
+        .advance(300);
+    assertEquals(List.of("started", "ended"), extension.notifications);
+  }
+
+  /**
+   * Guards requests whose client disconnects before the extension tells it the path of the result:
+   * they are cancelled, since nobody can fetch the result.
+   */
+  @Test
+  void requestIsCancelledIfItsClientCannotBeToldThePath() {
+    GatewayFixture gateway =
+        new GatewayFixture()
+            .withExtension(
+                context ->
+                    extension =
+                        new RecordingExtension(context) {
+                          @Override
+                          public void onRequest(HttpRequest request, Reply reply) {
+                            pendingSubmissions.add(() -> super.onRequest(request, reply));
+                          }
+                        })
+            .post("c1", ID, "aside/look")
+            .clientDisconnects("c1", DisconnectReason.CLOSED_BY_PEER);
+    gateway.iterate(() -> pendingSubmissions.forEach(Runnable::run));
+    gateway.get("c2", ID).assertMatches("net-aside-gone");
+  }
+
   /**
    * Covers each point at which a guard may cease to hold, on a request class that may run twice and
    * on one that must not.
--- a/gateway/src/test/java/tillerlink/net/lifecycle/EndingsTest.java
+++ b/gateway/src/test/java/tillerlink/net/lifecycle/EndingsTest.java
@@ -87,10 +87,10 @@
   @Test
   void noAttemptIsWrittenForAClientThatLeftDuringTheConnect() throws Exception {
     loopback = new Loopback(1);
-    // Four events come first: the client's connection, its request, the read pass before the
-    // attempt, and the written response. The next is the connection to the engine.
-    loopback.delayEventAfter(4);
-    Peer client = loopback.connectAndSubmit(FIRST_ID, "look", 4500);
+    Peer client = loopback.connectFirstClient();
+    loopback.delayNextOpenedConnection();
+    client.post(FIRST_ID, "look", 4500);
+    client.expectBody("{\"continue\":\"/v1/calls/" + FIRST_ID + "\"}");
     Peer engine = loopback.acceptEngine(0);
     Loopback.await(loopback::hasDelayedEvent, "the connection to the engine is not established");
     loopback.holdIteration();
@@ -112,9 +112,7 @@
     Peer engine = awaitAttempt(client);
     loopback.runIterations();
     loopback.holdIteration();
-    // Two events come first: the reset and the read pass before the retry. The next is the
-    // connection for the retry.
-    loopback.delayEventAfter(2);
+    loopback.delayNextOpenedConnection();
     engine.reset();
     loopback.awaitEvents(1);
     loopback.releaseIteration();
--- a/gateway/src/test/java/tillerlink/net/lifecycle/Loopback.java
+++ b/gateway/src/test/java/tillerlink/net/lifecycle/Loopback.java
@@ -24,7 +24,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -218,12 +218,11 @@
   }
 
   /**
-   * Delays one event, as if it arrived late. The events after it are delivered.
-   *
-   * @param events the number of events that are delivered before the delayed one
+   * Delays the event that reports the next connection as open, as if it arrived late. The events
+   * after it are delivered.
    */
-  void delayEventAfter(int events) {
-    gate.eventsBeforeDelayed.set(events);
+  void delayNextOpenedConnection() {
+    gate.delaysOpenedConnection.set(true);
   }
 
   /** Returns whether the event to delay has arrived. */
@@ -304,6 +303,13 @@
     return peer(socket);
   }
 
+  /** Connects the first client and waits until the gateway has accepted its connection. */
+  Peer connectFirstClient() throws IOException {
+    Peer client = connectClient();
+    await(() -> !evaluate(Gateway::hasNoClients), "the client's connection is not accepted");
+    return client;
+  }
+
   /** Connects a client that submits a statement and receives the path of its result. */
   Peer connectAndSubmit(String id, String requestClass, int deadlineMs) throws IOException {
     Peer client = connectClient();
@@ -367,8 +373,10 @@
     private static final int ALL = 1 << 20;
     private final Semaphore deliverable = new Semaphore(ALL);
 
-    /** The number of events before the one to delay; negative if none is to be delayed. */
-    private final AtomicInteger eventsBeforeDelayed = new AtomicInteger(-1);
+    /** The method of the driver that posts the event of an opened connection. */
+    private static final String OPENED = "sessionOpened";
+
+    private final AtomicBoolean delaysOpenedConnection = new AtomicBoolean();
 
     private volatile Runnable delayed;
 
@@ -379,13 +387,18 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
-      if (eventsBeforeDelayed.getAndUpdate(n -> n < 0 ? n : n - 1) == 0) {
+      if (isPostedByOpenedConnection() && delaysOpenedConnection.compareAndSet(true, false)) {
         delayed = event;
         return true;
       }
       return eventLoop.queue.add(event);
     }
 
+    private static boolean isPostedByOpenedConnection() {
+      return StackWalker.getInstance()
+          .walk(frames -> frames.anyMatch(frame -> frame.getMethodName().equals(OPENED)));
+    }
+
     @Override
     public Runnable poll() {
       throw new UnsupportedOperationException();
