--- a/review/standins-2/EngineServer.java
+++ b/review/standins-2/EngineServer.java
@@ -159,8 +159,12 @@
   public void close() throws IOException {
     listening.close();
     for (Socket socket : sockets) {
-      socket.setSoLinger(true, 0);
-      socket.close();
+      try {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      } catch (IOException e) {
+        // It was closed just now.
+      }
     }
     work.shutdownNow();
   }
