Review: one client that sends line feeds ends the gateway (case 6)

Cause: two line feeds at the head make the parser throw after the bytes were added, so that they are neither counted nor bounded. A case that is stopped from outside now ends its processes.

--- a/review/10/case/SameAgain.java
+++ b/review/6/case/LineFeeds.java
@@ -1,28 +1,32 @@
 package review2;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * 200 bad clients connect, and each sends a request without an id, and the same again 50 ms after it was
- * turned away. Usual clients go on with one request each 200 ms. Each request that a usual client has
- * sent whole must get its answer.
+ * One bad client connects and sends line feeds without end. The gateway must not end, and each request that
+ * a usual client has sent whole must get its answer.
  */
-public final class SameAgain extends Case {
+public final class LineFeeds extends Case {
   private static final int DESCRIPTORS = 256;
-  private static final int BAD_CLIENTS = 200;
-  private static final int BAD_PAUSE_MS = 50;
+
+  /** The length of a body that the page names for bad clients; the client sends no more than that. */
+  private static final long MOST_BYTES = 60_000_000;
+
   private static final int CLIENT_TIME_MS = 4000;
 
-  private final AtomicInteger turnedAway = new AtomicInteger();
-  private final AtomicInteger served = new AtomicInteger();
+  private final AtomicLong sentBytes = new AtomicLong();
 
   public static void main(String[] args) {
-    new SameAgain().run(args);
+    new LineFeeds().run(args);
   }
 
   @Override
@@ -56,16 +60,12 @@
   private boolean judge(GatewayProcess gateway) throws InterruptedException {
     List<Client.End> ends = Collections.synchronizedList(new ArrayList<>());
     List<Thread> clients = new ArrayList<>();
-    AtomicBoolean over = new AtomicBoolean();
-    List<Thread> bad = new ArrayList<>();
     for (int i = 0; i < 75; i++) {
       if (i == 10 && trouble) {
-        for (int k = 0; k < BAD_CLIENTS; k++) {
-          Thread thread = new Thread(() -> sendSameAgain(gateway.port, over), "bad");
-          thread.start();
-          bad.add(thread);
-        }
-        record.line("bad clients: " + BAD_CLIENTS + " connect");
+        record.line("bad client: connects");
+        Thread bad = new Thread(() -> sendLineFeeds(gateway.port), "bad");
+        bad.setDaemon(true);
+        bad.start();
       }
       Thread thread =
           new Thread(
@@ -86,14 +86,6 @@
     for (Thread thread : clients) {
       thread.join();
     }
-    over.set(true);
-    for (Thread thread : bad) {
-      thread.join();
-    }
-    if (!gateway.isAlive()) {
-      say("the gateway has ended with " + gateway.exitValue());
-      return false;
-    }
     int lost = Collections.frequency(ends, Client.End.LOST);
     say(
         "usual clients: " + ends.size() + " requests, "
@@ -101,30 +93,44 @@
             + Collections.frequency(ends, Client.End.REFUSED) + " refused, "
             + Collections.frequency(ends, Client.End.FAILED) + " failed, "
             + Collections.frequency(ends, Client.End.NOT_SENT) + " not sent, "
-            + lost + " without an answer");
-    if (trouble) {
-      say(
-          "bad clients: turned away " + turnedAway + " times, 'served' " + served + " times");
+            + lost + " without an answer; the bad client sent " + sentBytes + " bytes");
+    if (!gateway.isAlive()) {
+      say("the gateway has ended with " + gateway.exitValue());
+      return false;
     }
     return lost == 0;
   }
 
-  private void sendSameAgain(int port, AtomicBoolean over) {
-    while (!over.get()) {
-      try (HttpConnection connection = new HttpConnection(port, 3000)) {
-        boolean open = true;
-        while (open && !over.get()) {
-          HttpConnection.Answer answer =
-              connection.call("POST", "/v1/consulta", "X-Deadline-Ms: 4000\r\n", "SELECT 1");
-          (answer.status() == 200 ? served : turnedAway).incrementAndGet();
-          open = !answer.closes();
-          Thread.sleep(BAD_PAUSE_MS);
-        }
-      } catch (IOException e) {
-        // Its connection was closed, or there was no answer within 3 s: it connects again.
-      } catch (InterruptedException e) {
-        return;
+  private void sendLineFeeds(int port) {
+    byte[] lines = new byte[65_536];
+    Arrays.fill(lines, (byte) '\n');
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 3000);
+      Thread reader = new Thread(() -> readAll(socket), "bad reader");
+      reader.setDaemon(true);
+      reader.start();
+      while (sentBytes.get() + lines.length <= MOST_BYTES) {
+        socket.getOutputStream().write(lines);
+        sentBytes.addAndGet(lines.length);
+      }
+      reader.join(6000);
+    } catch (IOException e) {
+      record.line("bad client: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Reads what the client is sent, to the end. */
+  private static void readAll(Socket socket) {
+    byte[] buffer = new byte[8192];
+    try {
+      InputStream in = socket.getInputStream();
+      while (in.read(buffer) >= 0) {
+        // Nothing of it is used.
       }
+    } catch (IOException e) {
+      // The connection has ended.
     }
   }
 }
--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -36,6 +36,7 @@
       Files.deleteIfExists(folder.resolve("gateway.log"));
       temporary = Files.createTempDirectory("review");
       record = new Record(folder.resolve("record.txt"));
+      Runtime.getRuntime().addShutdownHook(new Thread(Case::endProcesses));
       record.line("trouble: " + trouble);
       Thread watchdog =
           new Thread(
@@ -46,7 +47,7 @@
                   return;
                 }
                 System.out.println("could not run: took too long");
-                ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
+                endProcesses();
                 Runtime.getRuntime().halt(2);
               });
       watchdog.setDaemon(true);
@@ -61,12 +62,17 @@
         e.printStackTrace(System.out);
       }
     } finally {
-      ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
+      endProcesses();
       deleteTemporary();
     }
     System.exit(code);
   }
 
+  /** Ends all processes that this one started. */
+  private static void endProcesses() {
+    ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
+  }
+
   private void deleteTemporary() {
     if (temporary != null) {
       try (Stream<Path> files = Files.walk(temporary)) {
