--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf standins-2/out
 mkdir -p standins-2/out
-javac --release 17 -d standins-2/out standins-2/*.java $(ls [6-9]/case/*.java 10/case/*.java 2>/dev/null)
+"${JAVA_HOME:+$JAVA_HOME/bin/}javac" -encoding UTF-8 --release 17 -d standins-2/out standins-2/*.java $(ls [6-9]/case/*.java 10/case/*.java 2>/dev/null)
